--- /dev/null
+++ b/internal/caller/batch.go
@@ -0,0 +1,146 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/stackspindle/stackspindle/internal/peer/peerpb"
+	"github.com/stackspindle/stackspindle/internal/sqlclass"
+	"github.com/stackspindle/stackspindle/internal/upstream"
+)
+
+// prepared is a statement that the caller has prepared.
+type prepared struct {
+	statement *peerpb.Statement
+	class     *sqlclass.Class
+}
+
+// batch collects the messages up to a Query, Sync or Flush.
+type batch struct {
+	request    peerpb.RunRequest
+	refs       map[string]uint32 // statement name to 1-based index
+	statements []sqlclass.Statement
+	executes   bool // runs something, as opposed to preparing and describing
+	writes     bool
+	commits    bool
+	begins     bool
+	readOnly   bool // begins a READ ONLY transaction
+	ownCount   int  // statements answered without any upstream
+	executed   int
+}
+
+func newBatch() *batch {
+	return &batch{refs: make(map[string]uint32)}
+}
+
+func (b *batch) empty() bool { return len(b.request.Kinds) == 0 }
+
+// add appends a message. Statement 0 means none.
+func (b *batch) add(kind byte, msg pgproto3.FrontendMessage, ref uint32) error {
+	if msg != nil {
+		wire, err := msg.Encode(b.request.Wire)
+		if err != nil {
+			return fail(codeProtocol, "%s", err.Error())
+		}
+		b.request.Wire = wire
+	}
+	b.request.Kinds = append(b.request.Kinds, kind)
+	b.request.Ends = append(b.request.Ends, uint32(len(b.request.Wire)))
+	b.request.Refs = append(b.request.Refs, ref)
+	return nil
+}
+
+// reference returns the index of a statement in the batch.
+func (b *batch) reference(p *prepared) uint32 {
+	if ref, ok := b.refs[p.statement.Name]; ok {
+		return ref
+	}
+	b.request.Statements = append(b.request.Statements, p.statement)
+	ref := uint32(len(b.request.Statements))
+	b.refs[p.statement.Name] = ref
+	return ref
+}
+
+// execute notes that the statements of a class are run.
+func (b *batch) execute(class *sqlclass.Class) {
+	b.executes = true
+	for _, st := range class.Statements {
+		b.executed++
+		if own(st) {
+			b.ownCount++
+		}
+		b.statements = append(b.statements, st)
+		b.note(st)
+	}
+	b.request.DiscardConnection = b.request.DiscardConnection || class.Taints()
+}
+
+func (b *batch) note(st sqlclass.Statement) {
+	switch st.Kind {
+	case sqlclass.KindWrite, sqlclass.KindSavepoint:
+		b.writes = true
+	case sqlclass.KindBegin:
+		b.begins = true
+		b.readOnly = st.ReadOnly
+	case sqlclass.KindCommit:
+		b.commits = true
+	case sqlclass.KindSet, sqlclass.KindReset:
+		b.request.ChangesSettings = true
+	}
+}
+
+// finish fills in the class. In an open transaction the member is chosen already.
+func (b *batch) finish(inTx bool) *peerpb.RunRequest {
+	r := &b.request
+	r.Class = peerpb.Class_CLASS_READ
+	if b.writes || b.commits || b.begins && !b.readOnly {
+		r.Class = peerpb.Class_CLASS_WRITE
+	}
+	rollback := false
+	for _, st := range b.statements {
+		rollback = rollback || st.Kind == sqlclass.KindRollback
+	}
+	r.EndsTransaction = b.commits || rollback || !inTx && b.writes && !b.begins
+	return r
+}
+
+// statementName names a statement by its text and parameter types.
+func statementName(sql string, oids []uint32) string {
+	var d xxhash.Digest
+	_, _ = d.WriteString(sql) // a Digest never fails
+	var word [4]byte
+	for _, oid := range oids {
+		binary.BigEndian.PutUint32(word[:], oid)
+		_, _ = d.Write(word[:])
+	}
+	sum := sha256.Sum256([]byte(sql))
+	return fmt.Sprintf("ss_%016x%x", d.Sum64(), sum[:8])
+}
+
+// digest identifies a request for its key: the statements and the values.
+func (b *batch) digest() []byte {
+	h := sha256.New()
+	for _, st := range b.request.Statements {
+		h.Write([]byte(st.Name))
+	}
+	h.Write(b.request.Kinds)
+	h.Write(b.request.Wire)
+	return h.Sum(nil)
+}
+
+// Kinds of messages, from package upstream.
+const (
+	kindQuery          = upstream.KindQuery
+	kindParse          = upstream.KindParse
+	kindBind           = upstream.KindBind
+	kindDescribe       = upstream.KindDescribe
+	kindExecute        = upstream.KindExecute
+	kindClosePortal    = upstream.KindClosePortal
+	kindCloseStatement = upstream.KindCloseStatement
+	kindSync           = upstream.KindSync
+	kindFlush          = upstream.KindFlush
+)
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,141 @@
+// Package command is the command line of stackspindle.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/stackspindle/stackspindle/internal/config"
+	"github.com/stackspindle/stackspindle/internal/instance"
+)
+
+// Version is the version of the program. The build sets it.
+var Version = "0.1.0-dev"
+
+// Names of flags that several commands share.
+const (
+	flagConfig    = "config"
+	flagLogFormat = "log-format"
+	flagLogLevel  = "log-level"
+)
+
+// New returns the root command, which writes to out.
+func New(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:   "stackspindle",
+		Usage:  "a PostgreSQL proxy with session consistency, for very many tiny services",
+		Writer: out,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagLogFormat, Value: "text", Usage: "text or json"},
+			&cli.StringFlag{Name: flagLogLevel, Value: "info", Usage: "debug, info, warn or error"},
+		},
+		Commands: append([]*cli.Command{
+			demoCommand(),
+			serveCommand(),
+			checkCommand(),
+			versionCommand(),
+		}, operatorCommands()...),
+	}
+}
+
+// newLogger builds the log from the flags.
+func newLogger(cmd *cli.Command) (*logrus.Logger, error) {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	level, err := logrus.ParseLevel(cmd.String(flagLogLevel))
+	if err != nil {
+		return nil, fmt.Errorf("--%s: %w", flagLogLevel, err)
+	}
+	log.SetLevel(level)
+	switch format := cmd.String(flagLogFormat); format {
+	case "text":
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+	case "json":
+		log.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return nil, fmt.Errorf("--%s: %q is neither text nor json", flagLogFormat, format)
+	}
+	return log, nil
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			_, err := fmt.Fprintln(cmd.Root().Writer, "stackspindle "+Version)
+			return err
+		},
+	}
+}
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: flagConfig, Required: true, Usage: "settings `FILE`"}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "report all that is wrong with a settings file",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			path := cmd.String(flagConfig)
+			if _, err := config.Load(path); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(cmd.Root().Writer, "%s: no findings\n", path)
+			return err
+		},
+	}
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one instance",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings, err := config.Load(cmd.String(flagConfig))
+			if err != nil {
+				return err
+			}
+			log, err := newLogger(cmd)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, settings, log)
+		},
+	}
+}
+
+// serve runs an instance until SIGTERM or SIGINT, then stops it as planned. A
+// second signal ends it at once.
+func serve(ctx context.Context, settings *config.Settings, log *logrus.Logger) error {
+	inst, err := instance.New(settings, log, instance.Options{})
+	if err != nil {
+		return err
+	}
+	if err := inst.Start(); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	<-ctx.Done()
+	stop()
+	drain, cancel := context.WithTimeout(context.Background(), settings.DrainTime)
+	defer cancel()
+	again, stopAgain := signal.NotifyContext(drain, syscall.SIGTERM, os.Interrupt)
+	defer stopAgain()
+	inst.Stop(again)
+	if errors.Is(drain.Err(), context.DeadlineExceeded) {
+		log.Warn("serve: the planned stop reached its bound")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,334 @@
+// Package config reads the settings of an instance from an INI text. All that is
+// wrong is reported at once, each finding with its file, line, section and key;
+// what is not known is a finding too.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/stackspindle/stackspindle/internal/caller"
+	"github.com/stackspindle/stackspindle/internal/failover"
+	"github.com/stackspindle/stackspindle/internal/findings"
+	"github.com/stackspindle/stackspindle/internal/membership"
+	"github.com/stackspindle/stackspindle/internal/owner"
+)
+
+// KeyPair names the files of a certificate. Empty means no TLS.
+type KeyPair struct {
+	Certificate string
+	Key         string
+	Authority   string // of the other side, which must then show a certificate
+}
+
+// Set reports whether TLS is wanted.
+func (k KeyPair) Set() bool { return k.Certificate != "" }
+
+// Settings are all settings of one instance.
+type Settings struct {
+	Name       string
+	DataCentre string
+
+	CallerListen string
+	Caller       caller.Options
+	CallerTLS    KeyPair
+
+	PeerListen  string
+	PeerAddress string // under which others reach this instance
+	PeerTLS     KeyPair
+	Seeds       []membership.Instance
+
+	OperatorListen string
+	OperatorToken  string // bearer token, empty: none is asked for
+	OperatorTLS    KeyPair
+
+	PlatformEndpoint string // base URL of the key-value service
+	PlatformPrefix   string
+	PlatformTimeout  time.Duration
+
+	Failover  failover.Config
+	MaxWait   time.Duration // of a strict read for a replica
+	Fallback  int           // strict reads on the primary at once, 0: half the connections
+	DrainTime time.Duration // bound of a planned stop
+
+	Credentials map[string]string // password by reference
+}
+
+// Defaults returns the settings of an instance for which nothing is configured.
+func Defaults() *Settings {
+	return &Settings{
+		Caller:          caller.DefaultOptions(),
+		PlatformPrefix:  "stackspindle/",
+		PlatformTimeout: 2 * time.Second,
+		Failover:        failover.DefaultConfig(),
+		MaxWait:         owner.DefaultMaxWait,
+		DrainTime:       30 * time.Second,
+		Credentials:     make(map[string]string),
+	}
+}
+
+// credentialSection holds references chosen by the operators.
+const credentialSection = "credentials"
+
+// Load reads a file.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, raw)
+}
+
+// Parse reads a text. The error, if any, is a findings.List.
+func Parse(name string, raw []byte) (*Settings, error) {
+	s := Defaults()
+	p := &parser{file: name, lines: locate(string(raw))}
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true}, raw)
+	if err != nil {
+		p.list.Add(name, "%s", err.Error())
+		return nil, p.list.Err()
+	}
+	keys := table(s)
+	for _, section := range file.Sections() {
+		p.section(s, section, keys)
+	}
+	p.complete(s)
+	if err := p.list.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// place identifies a key.
+type place struct {
+	section, key string
+}
+
+// setter applies one value.
+type setter func(value string) error
+
+type parser struct {
+	file  string
+	lines map[place]int
+	list  findings.List
+}
+
+// at renders a place for a finding.
+func (p *parser) at(pl place) string {
+	line := p.lines[pl]
+	if line == 0 {
+		return fmt.Sprintf("%s: [%s] %s", p.file, pl.section, pl.key)
+	}
+	return fmt.Sprintf("%s:%d: [%s] %s", p.file, line, pl.section, pl.key)
+}
+
+func (p *parser) section(s *Settings, section *ini.Section, keys map[place]setter) {
+	for _, key := range section.Keys() {
+		pl := place{section: section.Name(), key: key.Name()}
+		if values := key.ValueWithShadows(); len(values) > 1 {
+			p.list.Add(p.at(pl), "stands %d times", len(values))
+			continue
+		}
+		if pl.section == credentialSection {
+			s.Credentials[pl.key] = key.Value()
+			continue
+		}
+		set, ok := keys[pl]
+		if !ok {
+			p.list.Add(p.at(pl), "unknown key")
+			continue
+		}
+		if err := set(key.Value()); err != nil {
+			p.list.Add(p.at(pl), "%s", err.Error())
+		}
+	}
+}
+
+// complete checks what must be there and what must fit together.
+func (p *parser) complete(s *Settings) {
+	for _, required := range []struct {
+		pl    place
+		value string
+	}{
+		{place{"instance", "name"}, s.Name},
+		{place{"caller", "listen"}, s.CallerListen},
+		{place{"peer", "listen"}, s.PeerListen},
+		{place{"operator", "listen"}, s.OperatorListen},
+		{place{"platform", "endpoint"}, s.PlatformEndpoint},
+	} {
+		if required.value == "" && p.lines[required.pl] == 0 {
+			p.list.Add(p.at(required.pl), "must be set")
+		}
+	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.PeerListen
+	}
+	p.pair("caller", s.CallerTLS)
+	p.pair("peer", s.PeerTLS)
+	p.pair("operator", s.OperatorTLS)
+	f := s.Failover
+	if f.Lease < 2*f.Heartbeat {
+		p.list.Add(p.at(place{"failover", "lease"}), "must be at least twice the heartbeat of %s", f.Heartbeat)
+	}
+	if f.Silence < 2*f.Heartbeat {
+		p.list.Add(p.at(place{"failover", "silence"}), "must be at least twice the heartbeat of %s", f.Heartbeat)
+	}
+}
+
+func (p *parser) pair(section string, k KeyPair) {
+	if (k.Certificate == "") != (k.Key == "") {
+		p.list.Add(p.at(place{section, "tls_key"}), "tls_certificate and tls_key must be set together")
+	}
+	if k.Authority != "" && k.Certificate == "" {
+		p.list.Add(p.at(place{section, "tls_authority"}), "needs tls_certificate and tls_key")
+	}
+}
+
+// locate finds the line of each key, since the library does not tell.
+func locate(text string) map[place]int {
+	lines := make(map[place]int)
+	section := ini.DefaultSection
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
+			section = strings.TrimSpace(line[1 : len(line)-1])
+			continue
+		}
+		if name, _, ok := strings.Cut(line, "="); ok && !strings.HasPrefix(line, "#") && !strings.HasPrefix(line, ";") {
+			lines[place{section, strings.TrimSpace(name)}] = i + 1
+		}
+	}
+	return lines
+}
+
+// table lists every key with what it sets.
+func table(s *Settings) map[place]setter {
+	return map[place]setter{
+		{"instance", "name"}:                   name(&s.Name),
+		{"instance", "data_centre"}:            name(&s.DataCentre),
+		{"caller", "listen"}:                   address(&s.CallerListen),
+		{"caller", "authenticate"}:             boolean(&s.Caller.Authenticate),
+		{"caller", "max_callers"}:              number(&s.Caller.MaxCallers, 1, 1_000_000),
+		{"caller", "max_message_bytes"}:        number(&s.Caller.MaxMessage, 1024, 1<<30),
+		{"caller", "authentication_timeout"}:   duration(&s.Caller.AuthTimeout),
+		{"caller", "write_timeout"}:            duration(&s.Caller.WriteTimeout),
+		{"caller", "idle_transaction_timeout"}: duration(&s.Caller.IdleTransaction),
+		{"caller", "tls_certificate"}:          text(&s.CallerTLS.Certificate),
+		{"caller", "tls_key"}:                  text(&s.CallerTLS.Key),
+		{"peer", "listen"}:                     address(&s.PeerListen),
+		{"peer", "address"}:                    address(&s.PeerAddress),
+		{"peer", "seeds"}:                      seeds(&s.Seeds),
+		{"peer", "tls_certificate"}:            text(&s.PeerTLS.Certificate),
+		{"peer", "tls_key"}:                    text(&s.PeerTLS.Key),
+		{"peer", "tls_authority"}:              text(&s.PeerTLS.Authority),
+		{"operator", "listen"}:                 address(&s.OperatorListen),
+		{"operator", "token"}:                  text(&s.OperatorToken),
+		{"operator", "tls_certificate"}:        text(&s.OperatorTLS.Certificate),
+		{"operator", "tls_key"}:                text(&s.OperatorTLS.Key),
+		{"platform", "endpoint"}:               text(&s.PlatformEndpoint),
+		{"platform", "prefix"}:                 text(&s.PlatformPrefix),
+		{"platform", "timeout"}:                duration(&s.PlatformTimeout),
+		{"failover", "heartbeat"}:              duration(&s.Failover.Heartbeat),
+		{"failover", "silence"}:                duration(&s.Failover.Silence),
+		{"failover", "lease"}:                  duration(&s.Failover.Lease),
+		{"failover", "drain_bound"}:            duration(&s.Failover.DrainBound),
+		{"failover", "isolation"}:              duration(&s.Failover.Isolation),
+		{"reads", "max_wait"}:                  duration(&s.MaxWait),
+		{"reads", "primary_reads"}:             number(&s.Fallback, 0, 10_000),
+		{"stop", "drain_timeout"}:              duration(&s.DrainTime),
+	}
+}
+
+func text(target *string) setter {
+	return func(value string) error {
+		*target = value
+		return nil
+	}
+}
+
+func name(target *string) setter {
+	return func(value string) error {
+		if value == "" || strings.ContainsAny(value, " '\"/\\") {
+			return fmt.Errorf("%q is not a name: no spaces, quotes or slashes", value)
+		}
+		*target = value
+		return nil
+	}
+}
+
+func address(target *string) setter {
+	return func(value string) error {
+		if err := checkAddress(value); err != nil {
+			return err
+		}
+		*target = value
+		return nil
+	}
+}
+
+func checkAddress(value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		return fmt.Errorf("%q is not an IP address and port", value)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("%q has no port number", value)
+	}
+	return nil
+}
+
+func boolean(target *bool) setter {
+	return func(value string) error {
+		parsed, err := strconv.ParseBool(value)
+		if err != nil {
+			return fmt.Errorf("%q is neither true nor false", value)
+		}
+		*target = parsed
+		return nil
+	}
+}
+
+func number(target *int, least, most int) setter {
+	return func(value string) error {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < least || n > most {
+			return fmt.Errorf("%q is not a number between %d and %d", value, least, most)
+		}
+		*target = n
+		return nil
+	}
+}
+
+func duration(target *time.Duration) setter {
+	return func(value string) error {
+		d, err := time.ParseDuration(value)
+		if err != nil || d <= 0 {
+			return fmt.Errorf("%q is not a positive duration such as 500ms", value)
+		}
+		*target = d
+		return nil
+	}
+}
+
+// seeds reads "name=address, name=address".
+func seeds(target *[]membership.Instance) setter {
+	return func(value string) error {
+		for _, item := range strings.Split(value, ",") {
+			instance, addr, ok := strings.Cut(strings.TrimSpace(item), "=")
+			if !ok {
+				return fmt.Errorf("%q is not of the form name=address", item)
+			}
+			if err := checkAddress(addr); err != nil {
+				return err
+			}
+			*target = append(*target, membership.Instance{Name: instance, Address: addr})
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/failover/reply.go
@@ -0,0 +1,301 @@
+package failover
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+)
+
+func (s *State) reply(now time.Duration, r Reply) []Action {
+	m := s.members[r.Member]
+	if m == nil {
+		return nil
+	}
+	var actions []Action
+	switch r.Failure {
+	case FailSilent:
+		m.failed = m.failed || r.Op == OpFence && r.Term == s.term
+	case FailHard:
+		m.hard++
+		m.failed = m.failed || r.Op == OpFence && r.Term == s.term
+	default:
+		actions = s.answered(now, r, m)
+	}
+	if s.phase == Standby {
+		return actions
+	}
+	if r.Op == OpPromote && r.Term == s.term && s.phase == Promoting {
+		return append(actions, s.promoted(now, r)...)
+	}
+	return append(actions, s.advance(now)...)
+}
+
+// answered takes in a status. A term above ours ends a claim or an ownership.
+func (s *State) answered(now time.Duration, r Reply, m *member) []Action {
+	m.hard = 0
+	m.answered = now
+	if r.Failure == FailRefused {
+		return s.refused(r)
+	}
+	if r.Op != OpFence || r.Term == s.term {
+		m.status = r.Status
+	}
+	s.noteLink(now, m)
+	if s.phase >= Fencing && r.Status.Term > s.term {
+		return s.superseded(r)
+	}
+	var actions []Action
+	if m.down && s.phase >= Serving {
+		m.down = false
+		actions = append(actions, Record{Kind: "member-up", Member: r.Member, Text: "answers again"})
+	}
+	if r.Term != s.term || s.phase < Fencing {
+		return actions
+	}
+	switch r.Op {
+	case OpFence:
+		m.fenced = true
+		s.hold(m, r.Sent)
+	case OpHeartbeat, OpFollow, OpPromote:
+		s.hold(m, r.Sent)
+	}
+	return actions
+}
+
+// hold notes that the member has answered in our term a request sent then.
+func (s *State) hold(m *member, sent time.Duration) {
+	if !m.held || sent > m.inTerm {
+		m.inTerm = sent
+		m.held = true
+	}
+}
+
+// refused deals with a member that would not do what was asked: it is either
+// ahead of our term, which the next status shows, or behind it.
+func (s *State) refused(r Reply) []Action {
+	if r.Op == OpFence && r.Term == s.term {
+		s.members[r.Member].failed = true
+		s.from = "" // somebody else has claimed the group since
+	}
+	if r.Op == OpStatus {
+		return nil
+	}
+	return []Action{Send{Member: r.Member, Op: OpStatus, Term: s.term}}
+}
+
+func (s *State) superseded(r Reply) []Action {
+	reason := fmt.Sprintf("%s is at term %d", r.Member, r.Status.Term)
+	s.members[r.Member].status = r.Status
+	actions := []Action{Suspend{Reason: reason, Terminal: true}}
+	return append(actions, s.standDown(reason, r.Status.Owner)...)
+}
+
+func (s *State) noteLink(now time.Duration, m *member) {
+	unlinked := m.status.Role == group.RoleReplica && !m.status.Linked
+	if unlinked && !m.isolated {
+		m.unlinked = now
+	}
+	m.isolated = unlinked
+}
+
+// advance moves a claim on when its conditions are met.
+func (s *State) advance(now time.Duration) []Action {
+	switch s.phase {
+	case Observing:
+		return s.advanceObserving(now)
+	case Fencing:
+		return s.advanceFencing(now)
+	case Waiting:
+		return s.advanceWaiting(now)
+	case Draining:
+		return s.advanceDraining(now)
+	case Serving:
+		return s.repair()
+	}
+	return nil
+}
+
+// advanceObserving fences once a majority has answered and no owner is alive.
+func (s *State) advanceObserving(now time.Duration) []Action {
+	count := 0
+	for _, m := range s.members {
+		if m.answered < s.started {
+			continue
+		}
+		count++
+		if m.status.Term > s.fromTerm {
+			s.from = ""
+		}
+		if owner := s.liveOwner(m.status); owner != "" {
+			s.claimed = false
+			return s.standDown("owned by "+owner, owner)
+		}
+		if m.status.Role == group.RolePrimary && m.status.Term >= s.term {
+			s.term, s.former = m.status.Term, s.nameOf(m)
+		}
+		s.acked = group.Max(s.acked, m.status.Acknowledged)
+	}
+	waited := now-s.started >= s.cfg.Collect
+	if count < s.majority() || count < len(s.names) && !waited {
+		return nil
+	}
+	return s.fence(now)
+}
+
+func (s *State) nameOf(m *member) string {
+	for name, other := range s.members {
+		if other == m {
+			return name
+		}
+	}
+	return ""
+}
+
+// liveOwner returns another instance whose heartbeats reach the member.
+func (s *State) liveOwner(st group.Status) string {
+	if st.Owner == "" || st.Owner == s.self || st.Owner == s.from || st.Released {
+		return ""
+	}
+	if st.HeartbeatAge < 0 || st.HeartbeatAge > s.cfg.Silence {
+		return ""
+	}
+	return st.Owner
+}
+
+// advanceFencing goes on once a majority is fenced and nobody worth waiting for
+// is missing: all others have failed, are suspect, or had Collect to answer.
+func (s *State) advanceFencing(now time.Duration) []Action {
+	fenced, missing := 0, 0
+	for name, m := range s.members {
+		switch {
+		case m.fenced:
+			fenced++
+		case !m.failed && name != s.suspect:
+			missing++
+		}
+	}
+	if fenced < s.majority() || missing > 0 && now-s.started < s.cfg.Collect {
+		return nil
+	}
+	s.until = s.leasesEnd(now)
+	s.enter(now, Waiting)
+	return s.advanceWaiting(now)
+}
+
+// leasesEnd returns when every lease of a former owner has lapsed. Each
+// majority that granted one shares a member with the fenced majority, and that
+// member's heartbeat age, taken when it was fenced, bounds what is left. The
+// time since the fence was answered is not counted, which is on the safe side.
+// An earlier result stays in force, since a second fence of ours hides the
+// owner that the first one found.
+func (s *State) leasesEnd(now time.Duration) time.Duration {
+	var left time.Duration
+	for _, m := range s.members {
+		owner := m.status.Owner
+		if !m.fenced || owner == "" || owner == s.self || owner == s.from || m.status.Released {
+			continue
+		}
+		if m.status.HeartbeatAge >= 0 {
+			left = max(left, s.cfg.Lease*time.Duration(1000+2*s.cfg.DriftPerMille)/1000-m.status.HeartbeatAge)
+		}
+	}
+	return max(s.until, now+left)
+}
+
+func (s *State) advanceWaiting(now time.Duration) []Action {
+	if now < s.until {
+		return nil
+	}
+	successor := s.successor()
+	if successor == "" {
+		return s.fence(now)
+	}
+	s.primary = successor
+	s.enter(now, Promoting)
+	return []Action{
+		Record{Kind: "promote", Member: successor, Text: fmt.Sprintf("at %s in term %d", s.members[successor].status.Position, s.term)},
+		Send{Member: successor, Op: OpPromote, Term: s.term},
+	}
+}
+
+// successor picks the fenced member with the highest position. Among equals it
+// keeps the former primary, so that a change of owner moves nothing. A member
+// to be avoided is taken only when it alone holds acknowledged work.
+func (s *State) successor() string {
+	best := ""
+	for _, name := range s.names {
+		m := s.members[name]
+		if !m.fenced || name == s.avoid {
+			continue
+		}
+		if best == "" || s.better(name, best) {
+			best = name
+		}
+	}
+	avoided := s.members[s.avoid]
+	if avoided == nil || !avoided.fenced {
+		return best
+	}
+	if best == "" || s.members[best].status.Position.Less(s.acked) && s.members[best].status.Position.Less(avoided.status.Position) {
+		return s.avoid
+	}
+	return best
+}
+
+func (s *State) better(name, than string) bool {
+	p, q := s.members[name].status.Position, s.members[than].status.Position
+	if p != q {
+		return q.Less(p)
+	}
+	if s.leaving[name] != s.leaving[than] {
+		return s.leaving[than]
+	}
+	return name == s.former
+}
+
+func (s *State) promoted(now time.Duration, r Reply) []Action {
+	if r.Failure != FailNone {
+		s.suspect = s.primary
+		return s.fence(now)
+	}
+	moved := s.primary != s.former
+	if moved && s.former != "" {
+		s.moves = append(s.moves, now)
+	}
+	claimed := s.claimed
+	s.claimed, s.from = false, ""
+	s.suspect, s.avoid = "", ""
+	s.former = s.primary
+	s.drained = false
+	s.enter(now, Serving)
+	s.lastBeat = now
+	for _, m := range s.members {
+		m.isolated = false
+	}
+	actions := []Action{
+		Serve{Term: s.term, Primary: s.primary, Base: r.Status.Position, Moved: moved, Claimed: claimed},
+		Record{Kind: "serving", Member: s.primary, Text: fmt.Sprintf("term %d from %s", s.term, r.Status.Position)},
+	}
+	return append(actions, s.repair()...)
+}
+
+// repair points members that do not follow the primary at it.
+func (s *State) repair() []Action {
+	var actions []Action
+	for _, name := range s.names {
+		m := s.members[name]
+		if name == s.primary || m.answered == 0 {
+			continue
+		}
+		if m.status.Term == s.term && m.status.Role == group.RoleReplica {
+			continue
+		}
+		if m.status.Term > s.term || m.status.Term == 0 {
+			continue
+		}
+		m.status.Term, m.status.Role = s.term, group.RoleReplica // until it answers otherwise
+		actions = append(actions, Send{Member: name, Op: OpFollow, Term: s.term, Leader: s.primary})
+	}
+	return actions
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,284 @@
+// Package instance puts the parts of one instance together. One goroutine holds
+// the control state: the picture of the fleet, the placement of groups and the
+// configuration in force. It publishes immutable snapshots that the traffic reads.
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/xdg-go/scram"
+
+	"github.com/stackspindle/stackspindle/internal/caller"
+	"github.com/stackspindle/stackspindle/internal/config"
+	"github.com/stackspindle/stackspindle/internal/dispatch"
+	"github.com/stackspindle/stackspindle/internal/membership"
+	"github.com/stackspindle/stackspindle/internal/operator"
+	"github.com/stackspindle/stackspindle/internal/owner"
+	"github.com/stackspindle/stackspindle/internal/ownership"
+	"github.com/stackspindle/stackspindle/internal/peer"
+	"github.com/stackspindle/stackspindle/internal/platform"
+	"github.com/stackspindle/stackspindle/internal/rollout"
+	"github.com/stackspindle/stackspindle/internal/sqlclass"
+	"github.com/stackspindle/stackspindle/internal/timeline"
+)
+
+// Instance is one running instance.
+type Instance struct {
+	settings    *config.Settings
+	log         *logrus.Logger
+	started     time.Time
+	hlc         *timeline.Clock
+	ring        *timeline.Ring
+	metrics     *counters
+	credentials map[string]*scram.StoredCredentials
+	store       Store
+
+	catalogue atomic.Pointer[catalogue]
+	fleet     atomic.Pointer[fleet]
+	groups    atomic.Pointer[map[string]*owner.Group]
+	leaving   atomic.Bool
+	reachable atomic.Bool // the platform's service answered last
+
+	peers      *peer.Client
+	peerServer *peer.Server
+	callers    *caller.Server
+	operators  *operator.Server
+	dispatcher *dispatch.Dispatcher
+	classifier *sqlclass.Classifier
+	background *ants.Pool
+	events     chan event
+	ctx        context.Context // ends with the control goroutine
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+	pause      func(owner.Step)
+	control    *control
+
+	callerAddr   string
+	peerAddr     string
+	operatorAddr string
+}
+
+// fleet is a picture of the instances and of where the groups should be.
+type fleet struct {
+	live     []ownership.Instance
+	known    []membership.Instance
+	rankings map[string][]string
+}
+
+// Settings of the instance that need no configuration.
+const (
+	statementCache  = 10_000
+	timelineSize    = 4096
+	backgroundTasks = 512
+	eventBuffer     = 1024
+)
+
+// Options are what tests and the demo set beyond the settings.
+type Options struct {
+	Store Store            // nil: from the settings
+	Pause func(owner.Step) // fault hook, nil: none
+}
+
+// New returns an instance that is not running yet.
+func New(settings *config.Settings, log *logrus.Logger, opts Options) (*Instance, error) {
+	hlc := timeline.NewClock(time.Now)
+	i := &Instance{
+		settings:    settings,
+		log:         log,
+		started:     time.Now(),
+		hlc:         hlc,
+		ring:        timeline.NewRing(settings.Name, hlc, timelineSize),
+		metrics:     newCounters(),
+		credentials: make(map[string]*scram.StoredCredentials),
+		store:       opts.Store,
+		events:      make(chan event, eventBuffer),
+		pause:       opts.Pause,
+	}
+	if i.store == nil {
+		i.store = platform.NewClient(settings.PlatformEndpoint, settings.PlatformPrefix, settings.PlatformTimeout)
+	}
+	for reference, password := range settings.Credentials {
+		stored, err := caller.NewCredentials(password)
+		if err != nil {
+			return nil, fmt.Errorf("credential %s: %w", reference, err)
+		}
+		i.credentials[reference] = stored
+	}
+	i.setCatalogue(rollout.Empty())
+	i.fleet.Store(&fleet{})
+	i.groups.Store(&map[string]*owner.Group{})
+	return i, i.assemble()
+}
+
+func (i *Instance) assemble() error {
+	var err error
+	if i.background, err = ants.NewPool(backgroundTasks, ants.WithNonblocking(true)); err != nil {
+		return fmt.Errorf("instance: %w", err)
+	}
+	if i.classifier, err = sqlclass.New(statementCache); err != nil {
+		return err
+	}
+	tls, err := newTLS(i.settings)
+	if err != nil {
+		return err
+	}
+	i.peers = peer.NewClient(tls.peerClient)
+	i.peerServer = peer.NewServer(i, tls.peerServer)
+	i.dispatcher = dispatch.New(i.settings.Name, i, i.peers)
+	options := i.settings.Caller
+	options.Instance = i.settings.Name
+	options.TLS = tls.caller
+	i.callers, err = caller.NewServer(options, i, i.dispatcher, i.classifier, i.metrics, i.prefixed("caller"))
+	if err != nil {
+		return err
+	}
+	i.callers.SetForwarder(i.forwardCancel)
+	i.operators = operator.NewServer(i, i.settings.OperatorToken, tls.operator, i.prefixed("operator"))
+	return nil
+}
+
+// prefixed returns the log of one part. Its messages begin with the part's name.
+func (i *Instance) prefixed(part string) *logrus.Entry {
+	return i.log.WithFields(logrus.Fields{"part": part, "instance": i.settings.Name})
+}
+
+// now is the monotonic clock of the instance.
+func (i *Instance) now() time.Duration { return time.Since(i.started) }
+
+// Start listens and runs the instance until Stop or Kill.
+func (i *Instance) Start() error {
+	peerListener, err := listen(i.settings.PeerListen)
+	if err != nil {
+		return fmt.Errorf("instance: peer: %w", err)
+	}
+	callerListener, err := listen(i.settings.CallerListen)
+	if err != nil {
+		peerListener.Close()
+		return fmt.Errorf("instance: caller: %w", err)
+	}
+	operatorListener, err := listen(i.settings.OperatorListen)
+	if err != nil {
+		peerListener.Close()
+		callerListener.Close()
+		return fmt.Errorf("instance: operator: %w", err)
+	}
+	i.operatorAddr = operatorListener.Addr().String()
+	i.peerAddr, i.callerAddr = peerListener.Addr().String(), callerListener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	i.ctx, i.cancel = ctx, cancel
+	i.control = newControl(i)
+	i.goRun("peer", func() error { return i.peerServer.Serve(peerListener) })
+	i.goRun("caller", func() error { return i.callers.Serve(callerListener) })
+	i.goRun("operator", func() error { return i.operators.Serve(operatorListener) })
+	i.goRun("control", func() error { i.control.run(ctx); return nil })
+	i.goRun("platform", func() error { i.follow(ctx); return nil })
+	i.record(timeline.Event{Kind: "started", Text: "serving callers on " + i.callerAddr})
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	return cfg.Listen(context.Background(), "tcp", address)
+}
+
+func (i *Instance) goRun(part string, f func() error) {
+	i.done.Add(1)
+	go func() {
+		defer i.done.Done()
+		if err := f(); err != nil && !errors.Is(err, net.ErrClosed) {
+			i.prefixed(part).WithError(err).Error(part + ": stopped")
+		}
+	}()
+}
+
+// CallerAddr returns the address that callers connect to.
+func (i *Instance) CallerAddr() string { return i.callerAddr }
+
+// PeerAddr returns the address that other instances connect to.
+func (i *Instance) PeerAddr() string { return i.peerAddr }
+
+// OperatorAddr returns the address that operators connect to.
+func (i *Instance) OperatorAddr() string { return i.operatorAddr }
+
+// Name returns the name of the instance.
+func (i *Instance) Name() string { return i.settings.Name }
+
+// Ranking implements dispatch.Placement.
+func (i *Instance) Ranking(group string) []string { return i.fleet.Load().rankings[group] }
+
+// Local implements dispatch.Placement.
+func (i *Instance) Local(group string) *owner.Group { return (*i.groups.Load())[group] }
+
+// Group returns the state of a group here, and false when it is not known.
+func (i *Instance) Group(name string) (owner.Status, bool) {
+	g := i.Local(name)
+	if g == nil {
+		return owner.Status{}, false
+	}
+	return g.Status(), true
+}
+
+// Revision returns the revision of the configuration in force.
+func (i *Instance) Revision() int64 { return i.catalogue.Load().snapshot.Revision() }
+
+// Ready reports whether the instance may get new callers.
+func (i *Instance) Ready() bool { return !i.leaving.Load() && i.Revision() > 0 }
+
+// Events returns the time line of this instance after a stamp.
+func (i *Instance) Events(since timeline.Stamp) []timeline.Event { return i.ring.Since(since) }
+
+// record puts an event on the time line and into the log.
+func (i *Instance) record(e timeline.Event) {
+	e = i.ring.Add(e)
+	i.prefixed("timeline").WithFields(logrus.Fields{"kind": e.Kind, "group": e.Group, "member": e.Member, "term": e.Term}).
+		Info("timeline: " + e.Text)
+}
+
+// Stop is the planned stop: it announces that the instance leaves, hands its
+// groups over, lets callers finish and closes. ctx bounds it all.
+func (i *Instance) Stop(ctx context.Context) {
+	i.record(timeline.Event{Kind: "stopping", Text: "planned stop"})
+	i.leaving.Store(true)
+	i.do(func(c *control) { c.members.SetSelfLeaving(); c.announceLeaving(ctx) })
+	i.handOverAll(ctx)
+	i.callers.Stop(ctx)
+	i.close(stopGrace)
+}
+
+// stopGrace bounds the end of calls from other instances.
+const stopGrace = 500 * time.Millisecond
+
+// Kill ends the instance at once, as a crash would.
+func (i *Instance) Kill() {
+	i.callers.Kill()
+	i.peerServer.Kill()
+	i.close(0)
+}
+
+func (i *Instance) close(grace time.Duration) {
+	i.operators.Close()
+	i.cancel()
+	i.peerServer.Stop(grace)
+	i.peers.Close()
+	i.done.Wait()
+	for _, g := range *i.groups.Load() {
+		g.Stop()
+	}
+	i.background.Release()
+}
+
+// spawn runs a task of control in the background. Where there is no room it is
+// left out: all such tasks are repeated.
+func (i *Instance) spawn(task func()) {
+	if err := i.background.Submit(task); err != nil {
+		i.metrics.backgroundFull.Inc()
+	}
+}
--- /dev/null
+++ b/internal/instance/tls.go
@@ -0,0 +1,164 @@
+package instance
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+
+	"github.com/stackspindle/stackspindle/internal/config"
+)
+
+// tlsSettings are the TLS settings of all sides of an instance. A nil field
+// means that this side talks in the clear.
+type tlsSettings struct {
+	caller     func() *tls.Config
+	peerClient credentials.TransportCredentials
+	peerServer credentials.TransportCredentials
+	operator   *tls.Config
+}
+
+// keyPair is a certificate that is read again when its file changes.
+type keyPair struct {
+	files   config.KeyPair
+	current atomic.Pointer[tls.Certificate]
+	changed atomic.Int64 // modification time of the certificate file, ns
+	checked atomic.Int64 // when it was looked at, ns
+}
+
+// reloadCheck is how often a certificate's file is looked at.
+const reloadCheck = 10 * time.Second
+
+func loadPair(files config.KeyPair) (*keyPair, error) {
+	k := &keyPair{files: files}
+	return k, k.load()
+}
+
+func (k *keyPair) load() error {
+	info, err := os.Stat(k.files.Certificate)
+	if err != nil {
+		return fmt.Errorf("TLS: %w", err)
+	}
+	pair, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
+	if err != nil {
+		return fmt.Errorf("TLS: %s: %w", k.files.Certificate, err)
+	}
+	k.current.Store(&pair)
+	k.changed.Store(info.ModTime().UnixNano())
+	return nil
+}
+
+// certificate returns the current pair. A new one that cannot be read leaves the
+// old one in use.
+func (k *keyPair) certificate() (*tls.Certificate, error) {
+	now := time.Now().UnixNano()
+	last := k.checked.Load()
+	if now-last > int64(reloadCheck) && k.checked.CompareAndSwap(last, now) {
+		if info, err := os.Stat(k.files.Certificate); err == nil && info.ModTime().UnixNano() != k.changed.Load() {
+			_ = k.load() // keeps the old pair on failure
+		}
+	}
+	return k.current.Load(), nil
+}
+
+func newTLS(s *config.Settings) (*tlsSettings, error) {
+	t := &tlsSettings{}
+	if s.CallerTLS.Set() {
+		cfg, err := serverTLS(s.CallerTLS)
+		if err != nil {
+			return nil, err
+		}
+		t.caller = func() *tls.Config { return cfg }
+	}
+	if s.OperatorTLS.Set() {
+		cfg, err := serverTLS(s.OperatorTLS)
+		if err != nil {
+			return nil, err
+		}
+		t.operator = cfg
+	}
+	if !s.PeerTLS.Set() {
+		return t, nil
+	}
+	server, err := serverTLS(s.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	client, err := peerClientTLS(s.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	t.peerServer = credentials.NewTLS(server)
+	t.peerClient = credentials.NewTLS(client)
+	return t, nil
+}
+
+func serverTLS(files config.KeyPair) (*tls.Config, error) {
+	pair, err := loadPair(files)
+	if err != nil {
+		return nil, err
+	}
+	cfg := &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return pair.certificate() },
+	}
+	if files.Authority != "" {
+		if cfg.ClientCAs, err = authority(files.Authority); err != nil {
+			return nil, err
+		}
+		cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return cfg, nil
+}
+
+// peerClientTLS trusts the authority, not names: instances are reached by address.
+func peerClientTLS(files config.KeyPair) (*tls.Config, error) {
+	if files.Authority == "" {
+		return nil, errors.New("TLS: [peer] tls_authority must be set, so that instances can verify one another")
+	}
+	pool, err := authority(files.Authority)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := loadPair(files)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:           tls.VersionTLS12,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return pair.certificate() },
+		InsecureSkipVerify:   true, // replaced by VerifyConnection, which leaves out the name only
+		VerifyConnection:     verifyChain(pool),
+	}, nil
+}
+
+func verifyChain(pool *x509.CertPool) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		if len(state.PeerCertificates) == 0 {
+			return errors.New("TLS: the other instance shows no certificate")
+		}
+		intermediates := x509.NewCertPool()
+		for _, cert := range state.PeerCertificates[1:] {
+			intermediates.AddCert(cert)
+		}
+		_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: pool, Intermediates: intermediates})
+		return err
+	}
+}
+
+func authority(path string) (*x509.CertPool, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("TLS: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, fmt.Errorf("TLS: %s holds no certificate", path)
+	}
+	return pool, nil
+}
--- /dev/null
+++ b/internal/owner/explain.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/peer/peerpb"
+	"github.com/stackspindle/stackspindle/internal/routing"
+)
+
+// Choice tells which member would serve a statement now.
+type Choice struct {
+	Primary  string
+	Member   string
+	Reason   string
+	Floor    string // what the session must see
+	Required string // position the member must hold
+}
+
+// Explain routes a statement without running it.
+func (g *Group) Explain(session string, read bool, staleness time.Duration) Choice {
+	v := g.view.Load()
+	choice := Choice{Primary: v.primary}
+	if !v.serving {
+		choice.Reason = "the group has no primary here"
+		return choice
+	}
+	header := &peerpb.Header{Session: session, StalenessUs: staleness.Microseconds()}
+	required, err := g.required(header)
+	if err != nil {
+		choice.Reason = err.Error()
+		return choice
+	}
+	choice.Required = required.String()
+	g.acks.Lock()
+	if floor, err := g.floors.Floor(session, group.Position{}); err == nil {
+		choice.Floor = floor.String()
+	}
+	g.acks.Unlock()
+	if !read {
+		choice.Member, choice.Reason = v.primary, "writes and open transactions run on the primary"
+		return choice
+	}
+	now := g.opts.Now()
+	decision := g.route(v, g.progress.Load(), required, now, now+time.Second)
+	choice.Member, choice.Reason = decision.Member, decision.Reason
+	if decision.Choice == routing.Wait {
+		choice.Reason = "waits: " + decision.Reason
+	}
+	return choice
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,120 @@
+// Package ownership places database groups on instances. Each instance computes
+// the same ranking from the same list, by rendezvous hashing, so that one
+// instance more or less moves only its own groups. Placement is a hint: that
+// two instances disagree for a while is harmless, since authority rests on the
+// terms of the group (package failover).
+package ownership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Instance is a candidate owner.
+type Instance struct {
+	Name       string
+	DataCentre string
+}
+
+// Group is what is to be placed.
+type Group struct {
+	Name       string
+	DataCentre string // preferred: instances there come first
+}
+
+// Rank returns the instances in the order in which they should own the group.
+func Rank(g Group, instances []Instance) []string {
+	type scored struct {
+		name  string
+		near  bool
+		score uint64
+	}
+	ranked := make([]scored, 0, len(instances))
+	for _, i := range instances {
+		ranked = append(ranked, scored{
+			name:  i.Name,
+			near:  g.DataCentre != "" && i.DataCentre == g.DataCentre,
+			score: Score(g.Name, i.Name),
+		})
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		switch {
+		case a.near != b.near && a.near:
+			return -1
+		case a.near != b.near:
+			return 1
+		case a.score != b.score && a.score > b.score:
+			return -1
+		case a.score != b.score:
+			return 1
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	names := make([]string, len(ranked))
+	for i, r := range ranked {
+		names[i] = r.name
+	}
+	return names
+}
+
+// Score is the rendezvous weight of an instance for a key.
+func Score(key, instance string) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(key) // a Digest never fails
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(instance)
+	return mix(d.Sum64())
+}
+
+// mix spreads the hash once more (finalizer of SplitMix64), since short keys
+// that differ in one character are too alike for a ranking.
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// Assign ranks the instances for every group, with at most limit groups in first
+// place on one instance. Groups are placed in order of their names, so that all
+// instances agree; one over the limit goes to the next in its ranking. Limit 0
+// means no bound.
+func Assign(groups []Group, instances []Instance, limit int) map[string][]string {
+	sorted := slices.Clone(groups)
+	slices.SortFunc(sorted, func(a, b Group) int { return strings.Compare(a.Name, b.Name) })
+	load := make(map[string]int, len(instances))
+	assigned := make(map[string][]string, len(groups))
+	for _, g := range sorted {
+		ranking := Rank(g, instances)
+		first := slices.IndexFunc(ranking, func(name string) bool { return limit <= 0 || load[name] < limit })
+		if first > 0 {
+			name := ranking[first]
+			ranking = slices.Insert(slices.Delete(ranking, first, first+1), 0, name)
+		}
+		if len(ranking) > 0 {
+			load[ranking[0]]++
+		}
+		assigned[g.Name] = ranking
+	}
+	return assigned
+}
+
+// Limit returns the bound on groups for one instance: a quarter above the even
+// share, and at least one more than it.
+func Limit(groups, instances int) int {
+	if instances == 0 {
+		return 0
+	}
+	even := (groups + instances - 1) / instances
+	return even + max(1, even/4)
+}
+
+// Neighbours returns the k instances that rank highest for self, without self.
+func Neighbours(self string, instances []Instance, k int) []string {
+	others := slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool { return i.Name == self })
+	ranking := Rank(Group{Name: self}, others)
+	return ranking[:min(k, len(ranking))]
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,135 @@
+// Package rollout holds the configuration that is in force on an instance. It
+// is a snapshot of all resources with the revision that the platform's service
+// gave to the last change. A revision never goes back: what is older than what
+// is in force is reported and not applied. The package has no I/O, clock or
+// goroutine.
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key identifies a resource.
+type Key struct {
+	Kind string
+	Name string
+}
+
+// String returns the key as kind/name.
+func (k Key) String() string { return k.Kind + "/" + k.Name }
+
+// Entry is one resource as it was stored. A deleted one stays as a tombstone, so
+// that an older copy cannot bring it back.
+type Entry struct {
+	Key      Key
+	Document string // JSON, empty when deleted
+	Revision int64  // of the change that made it
+	Deleted  bool
+}
+
+// Snapshot is an immutable set of entries.
+type Snapshot struct {
+	revision int64
+	entries  map[Key]Entry
+	digest   uint64
+}
+
+// Empty returns the snapshot of an instance that has no configuration.
+func Empty() *Snapshot {
+	return &Snapshot{entries: map[Key]Entry{}}
+}
+
+// Revision returns the revision of the last change, 0 for none.
+func (s *Snapshot) Revision() int64 { return s.revision }
+
+// Digest returns a hash over all entries that does not depend on their order.
+func (s *Snapshot) Digest() uint64 { return s.digest }
+
+// Len returns the number of entries, tombstones included.
+func (s *Snapshot) Len() int { return len(s.entries) }
+
+// Get returns an entry that is not deleted.
+func (s *Snapshot) Get(k Key) (Entry, bool) {
+	e, ok := s.entries[k]
+	return e, ok && !e.Deleted
+}
+
+// Entries returns all entries in order of their keys, tombstones included.
+func (s *Snapshot) Entries() []Entry {
+	entries := slices.Collect(maps.Values(s.entries))
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.Key.String(), b.Key.String()) })
+	return entries
+}
+
+// Since returns the entries changed after a revision.
+func (s *Snapshot) Since(revision int64) []Entry {
+	return slices.DeleteFunc(s.Entries(), func(e Entry) bool { return e.Revision <= revision })
+}
+
+// hash is an entry's part in the digest.
+func (e Entry) hash() uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(e.Key.String()) // a Digest never fails
+	_, _ = d.WriteString("\x00" + strconv.FormatInt(e.Revision, 10) + "\x00" + e.Document)
+	return d.Sum64()
+}
+
+// OldDataError says that a source held less than what is in force.
+type OldDataError struct {
+	Have, Got int64
+}
+
+func (e *OldDataError) Error() string {
+	return fmt.Sprintf("revision %d was offered, %d is in force", e.Got, e.Have)
+}
+
+// Merge returns the snapshot with every entry that is newer than the one in
+// force. Older entries are left out, so that merging is idempotent, commutative
+// and never goes back. The receiver is unchanged.
+func (s *Snapshot) Merge(revision int64, entries []Entry) *Snapshot {
+	next := &Snapshot{revision: max(s.revision, revision), entries: maps.Clone(s.entries), digest: s.digest}
+	for _, e := range entries {
+		old, ok := next.entries[e.Key]
+		if ok && old.Revision >= e.Revision {
+			continue
+		}
+		if ok {
+			next.digest ^= old.hash()
+		}
+		next.entries[e.Key] = e
+		next.digest ^= e.hash()
+		next.revision = max(next.revision, e.Revision)
+	}
+	return next
+}
+
+// Load takes in the whole content of the platform's service as of a revision.
+// Deletions are stored as tombstones there, so content that lacks an entry in
+// force, or holds an older one, means that the service has lost data: it is
+// refused with an OldDataError.
+func (s *Snapshot) Load(revision int64, entries []Entry) (*Snapshot, error) {
+	if revision < s.revision {
+		return s, &OldDataError{Have: s.revision, Got: revision}
+	}
+	stored := make(map[Key]int64, len(entries))
+	for _, e := range entries {
+		stored[e.Key] = e.Revision
+	}
+	for key, e := range s.entries {
+		if stored[key] < e.Revision {
+			return s, &OldDataError{Have: e.Revision, Got: stored[key]}
+		}
+	}
+	return s.Merge(revision, entries), nil
+}
+
+// Newer reports whether other holds anything that s lacks.
+func (s *Snapshot) Newer(otherRevision int64, otherDigest uint64) bool {
+	return otherRevision > s.revision || otherRevision == s.revision && otherDigest != s.digest
+}
--- /dev/null
+++ b/internal/standin/kvservice/kvservice.go
@@ -0,0 +1,344 @@
+// Package kvservice is a stand-in for the platform's key-value service: the part
+// of etcd v3's HTTP/JSON gateway that package platform uses, in memory, with
+// switches for outages, slowness and answers lost after a write took effect.
+package kvservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// record is one stored value.
+type record struct {
+	value    []byte
+	revision int64
+}
+
+// change is one entry of the history that watches read.
+type change struct {
+	key     string
+	record  record
+	deleted bool
+}
+
+// Service is a running stand-in.
+type Service struct {
+	server *http.Server
+	addr   string
+
+	mu       sync.Mutex
+	data     map[string]record
+	history  []change
+	revision int64
+	changed  chan struct{}
+
+	down    atomic.Bool
+	slow    atomic.Int64
+	lose    atomic.Int32
+	calls   atomic.Int64
+	closing context.CancelFunc
+}
+
+// Start listens on a free port of loopback.
+func Start() (*Service, error) {
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("key-value stand-in: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Service{
+		addr:     l.Addr().String(),
+		data:     make(map[string]record),
+		revision: 1,
+		changed:  make(chan struct{}),
+		closing:  cancel,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", s.guard(s.serveRange))
+	mux.HandleFunc("POST /v3/kv/txn", s.guard(s.serveTxn))
+	mux.HandleFunc("POST /v3/watch", s.guard(s.serveWatch))
+	s.server = &http.Server{Handler: mux, BaseContext: func(net.Listener) context.Context { return ctx }, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.server.Serve(l) }() // ends with Close
+	return s, nil
+}
+
+// URL returns the base URL.
+func (s *Service) URL() string { return "http://" + s.addr }
+
+// Close stops the service.
+func (s *Service) Close() {
+	s.closing()
+	s.server.Close()
+}
+
+// SetDown starts or ends an outage. Open watches break.
+func (s *Service) SetDown(down bool) {
+	s.down.Store(down)
+	s.mu.Lock()
+	s.wakeLocked()
+	s.mu.Unlock()
+}
+
+// SetSlow delays every answer.
+func (s *Service) SetSlow(d time.Duration) { s.slow.Store(int64(d)) }
+
+// LoseAnswers makes the next n writes take effect without an answer.
+func (s *Service) LoseAnswers(n int) { s.lose.Store(int32(n)) }
+
+// Calls returns how many calls were made; a watch counts as one.
+func (s *Service) Calls() int64 { return s.calls.Load() }
+
+// Put writes a value directly, as the platform itself does.
+func (s *Service) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.putLocked(key, value)
+}
+
+// Delete removes a value directly, as the platform itself does.
+func (s *Service) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.data, key)
+	s.history = append(s.history, change{key: key, record: record{revision: s.revision}, deleted: true})
+	s.wakeLocked()
+}
+
+// Backup returns a copy of all values for Restore.
+func (s *Service) Backup() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	saved := make(map[string]record, len(s.data))
+	for k, v := range s.data {
+		saved[k] = v
+	}
+	revision := s.revision
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.data, s.revision = saved, revision
+		s.history = nil
+		s.wakeLocked()
+	}
+}
+
+func (s *Service) putLocked(key string, value []byte) int64 {
+	s.revision++
+	r := record{value: value, revision: s.revision}
+	s.data[key] = r
+	s.history = append(s.history, change{key: key, record: r})
+	s.wakeLocked()
+	return s.revision
+}
+
+func (s *Service) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// guard counts a call and applies the switches.
+func (s *Service) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.calls.Add(1)
+		if d := s.slow.Load(); d > 0 {
+			select {
+			case <-time.After(time.Duration(d)):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if s.down.Load() {
+			http.Error(w, `{"error":"etcdserver: leader changed","code":14}`, http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+type keyRange struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end"`
+}
+
+func (r keyRange) holds(key string) bool {
+	if len(r.RangeEnd) == 0 {
+		return key == string(r.Key)
+	}
+	return key >= string(r.Key) && bytes.Compare([]byte(key), r.RangeEnd) < 0
+}
+
+func (s *Service) header() map[string]any {
+	return map[string]any{"revision": strconv.FormatInt(s.revision, 10)}
+}
+
+func kvJSON(key string, r record) map[string]any {
+	return map[string]any{
+		"key":          []byte(key),
+		"value":        r.value,
+		"mod_revision": strconv.FormatInt(r.revision, 10),
+	}
+}
+
+// rangeLocked renders a range response. The caller holds mu.
+func (s *Service) rangeLocked(r keyRange) map[string]any {
+	var keys []string
+	for key := range s.data {
+		if r.holds(key) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	kvs := make([]map[string]any, 0, len(keys))
+	for _, key := range keys {
+		kvs = append(kvs, kvJSON(key, s.data[key]))
+	}
+	return map[string]any{"header": s.header(), "kvs": kvs, "count": strconv.Itoa(len(kvs))}
+}
+
+func (s *Service) serveRange(w http.ResponseWriter, r *http.Request) {
+	var req keyRange
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	resp := s.rangeLocked(req)
+	s.mu.Unlock()
+	reply(w, resp)
+}
+
+type txn struct {
+	Compare []struct {
+		Key         []byte `json:"key"`
+		ModRevision string `json:"mod_revision"`
+	} `json:"compare"`
+	Success []operation `json:"success"`
+	Failure []operation `json:"failure"`
+}
+
+type operation struct {
+	RequestPut *struct {
+		Key   []byte `json:"key"`
+		Value []byte `json:"value"`
+	} `json:"request_put"`
+	RequestRange *keyRange `json:"request_range"`
+}
+
+func (s *Service) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var req txn
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	succeeded := true
+	for _, c := range req.Compare {
+		succeeded = succeeded && strconv.FormatInt(s.data[string(c.Key)].revision, 10) == c.ModRevision
+	}
+	ops := req.Failure
+	if succeeded {
+		ops = req.Success
+	}
+	responses := make([]map[string]any, 0, len(ops))
+	wrote := false
+	for _, op := range ops {
+		switch {
+		case op.RequestPut != nil:
+			s.putLocked(string(op.RequestPut.Key), op.RequestPut.Value)
+			wrote = true
+			responses = append(responses, map[string]any{"response_put": map[string]any{"header": s.header()}})
+		case op.RequestRange != nil:
+			responses = append(responses, map[string]any{"response_range": s.rangeLocked(*op.RequestRange)})
+		}
+	}
+	resp := map[string]any{"header": s.header(), "succeeded": succeeded, "responses": responses}
+	s.mu.Unlock()
+	if wrote && s.takeLoss() {
+		panic(http.ErrAbortHandler) // the connection breaks without an answer
+	}
+	reply(w, resp)
+}
+
+func (s *Service) takeLoss() bool {
+	if s.lose.Add(-1) >= 0 {
+		return true
+	}
+	s.lose.Add(1)
+	return false
+}
+
+func (s *Service) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		CreateRequest struct {
+			keyRange
+			StartRevision string `json:"start_revision"`
+		} `json:"create_request"`
+	}
+	if !decode(w, r, &req) {
+		return
+	}
+	start, err := strconv.ParseInt(req.CreateRequest.StartRevision, 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	flusher, _ := w.(http.Flusher)
+	encoder := json.NewEncoder(w)
+	for !s.down.Load() {
+		s.mu.Lock()
+		changed := s.changed
+		events, next := s.eventsLocked(req.CreateRequest.keyRange, start)
+		header := s.header()
+		s.mu.Unlock()
+		if len(events) > 0 {
+			message := map[string]any{"result": map[string]any{"header": header, "events": events}}
+			if err := encoder.Encode(message); err != nil {
+				return
+			}
+			flusher.Flush()
+		}
+		start = next
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Service) eventsLocked(r keyRange, start int64) ([]map[string]any, int64) {
+	var events []map[string]any
+	for _, c := range s.history {
+		if c.record.revision < start || !r.holds(c.key) {
+			continue
+		}
+		kind := "PUT"
+		if c.deleted {
+			kind = "DELETE"
+		}
+		events = append(events, map[string]any{"type": kind, "kv": kvJSON(c.key, c.record)})
+	}
+	return events, max(start, s.revision+1)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // the client is gone if this fails
+}
--- /dev/null
+++ b/internal/standin/pggroup/session.go
@@ -0,0 +1,482 @@
+package pggroup
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+)
+
+// session is one connection to a member.
+type session struct {
+	member   *Member
+	conn     net.Conn
+	backend  *pgproto3.Backend
+	instance string
+	term     uint64 // 0: not bound to a term
+	pid      uint32
+	secret   []byte
+
+	done     chan struct{}
+	endOnce  sync.Once
+	canceled atomic.Bool
+
+	prepared map[string]*plan
+	portals  map[string]*portal
+	settings map[string]string
+	saved    map[string]string // settings at BEGIN
+	local    map[string]string // values to restore after SET LOCAL
+
+	tx       *transaction
+	explicit bool
+	failed   bool
+	readOnly bool
+	wrote    bool
+	skipping bool // after an error in the extended protocol, until Sync
+	pending  int  // bytes given to the backend and not flushed
+}
+
+type portal struct {
+	plan    *plan
+	params  []any
+	formats []int16
+}
+
+func newSession(m *Member, conn net.Conn, instance string, term uint64, pid uint32) *session {
+	return &session{
+		member:   m,
+		conn:     conn,
+		instance: instance,
+		term:     term,
+		pid:      pid,
+		secret:   binary.BigEndian.AppendUint32(nil, pid*2654435761),
+		done:     make(chan struct{}),
+		prepared: make(map[string]*plan),
+		portals:  make(map[string]*portal),
+		settings: make(map[string]string),
+	}
+}
+
+// staleLocked reports whether the session belongs to a term that has passed.
+// The caller holds member.mu.
+func (s *session) staleLocked() bool {
+	return s.term != 0 && s.term < s.member.term
+}
+
+// end breaks the connection.
+func (s *session) end() {
+	s.endOnce.Do(func() {
+		close(s.done)
+		if s.conn != nil {
+			s.conn.Close()
+		}
+	})
+}
+
+func (s *session) ended() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// gatedConn holds traffic back while the member is paused or cut off.
+type gatedConn struct {
+	net.Conn
+	member *Member
+	cut    *gate
+	done   chan struct{}
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.hold()
+	return n, err
+}
+
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if d := c.member.faults.delay.Load(); d > 0 {
+		select {
+		case <-time.After(time.Duration(d)):
+		case <-c.done:
+		}
+	}
+	c.hold()
+	return c.Conn.Write(p)
+}
+
+func (c *gatedConn) hold() {
+	c.member.faults.pause.wait(c.done)
+	if c.cut != nil {
+		c.cut.wait(c.done)
+	}
+}
+
+func (m *Member) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go m.serve(conn)
+	}
+}
+
+func (m *Member) serve(conn net.Conn) {
+	defer conn.Close()
+	gated := &gatedConn{Conn: conn, member: m, done: make(chan struct{})}
+	backend := pgproto3.NewBackend(gated, gated)
+	start, err := m.startup(backend, gated)
+	if err != nil || start == nil {
+		return
+	}
+	s, err := m.admit(start, gated)
+	if err != nil {
+		backend.Send(errorResponse(err))
+		_ = backend.Flush()
+		return
+	}
+	s.backend = backend
+	defer m.forget(s)
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.ParameterStatus{Name: "server_version", Value: "16.0"})
+	backend.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
+	backend.Send(&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"})
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
+	s.ready()
+	s.loop()
+}
+
+// startup reads the first messages; a nil message means the connection is done.
+func (m *Member) startup(backend *pgproto3.Backend, conn *gatedConn) (*pgproto3.StartupMessage, error) {
+	for {
+		msg, err := backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch start := msg.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := conn.Write([]byte("N")); err != nil {
+				return nil, err
+			}
+		case *pgproto3.CancelRequest:
+			m.cancel(start.ProcessID, start.SecretKey)
+			return nil, nil
+		case *pgproto3.StartupMessage:
+			return start, nil
+		}
+	}
+}
+
+func (m *Member) cancel(pid uint32, secret []byte) {
+	m.mu.RLock()
+	s := m.sessions[pid]
+	m.mu.RUnlock()
+	if s != nil && string(s.secret) == string(secret) {
+		s.canceled.Store(true)
+	}
+}
+
+func (m *Member) admit(start *pgproto3.StartupMessage, conn *gatedConn) (*session, error) {
+	term := termOption(start.Parameters["options"])
+	instance := start.Parameters["application_name"]
+	conn.cut = m.faults.cut(instance)
+	conn.hold()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.running.Load() {
+		return nil, sqlError("57P03", "the member is stopping")
+	}
+	if term != 0 && term != m.term {
+		return nil, &pgError{code: "57P03", message: fmt.Sprintf("term %d asked for, the member is at %d", term, m.term), fatal: true}
+	}
+	m.nextPID++
+	s := newSession(m, conn.Conn, instance, term, m.nextPID)
+	s.done = conn.done
+	m.sessions[s.pid] = s
+	return s, nil
+}
+
+// termOption reads "-c group.term=N" from the startup options.
+func termOption(options string) uint64 {
+	for _, field := range strings.Fields(options) {
+		if value, ok := strings.CutPrefix(field, "group.term="); ok {
+			term, err := strconv.ParseUint(value, 10, 64)
+			if err == nil {
+				return term
+			}
+		}
+	}
+	return 0
+}
+
+func (m *Member) forget(s *session) {
+	if s.tx != nil {
+		m.rollback(s.tx)
+	}
+	s.end()
+	m.mu.Lock()
+	delete(m.sessions, s.pid)
+	m.mu.Unlock()
+}
+
+func (s *session) ready() {
+	status := byte('I')
+	switch {
+	case s.failed:
+		status = 'E'
+	case s.explicit:
+		status = 'T'
+	}
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	s.flush()
+}
+
+func (s *session) flush() {
+	s.pending = 0
+	if s.wrote && s.tx == nil && s.member.faults.takeDrop() {
+		s.end()
+	}
+	s.wrote = s.wrote && s.tx != nil
+	if err := s.backend.Flush(); err != nil {
+		s.end()
+	}
+}
+
+func (s *session) loop() {
+	for !s.ended() {
+		msg, err := s.backend.Receive()
+		if err != nil {
+			return
+		}
+		if _, ok := msg.(*pgproto3.Terminate); ok {
+			return
+		}
+		s.handle(msg)
+	}
+}
+
+func (s *session) handle(msg pgproto3.FrontendMessage) {
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		s.canceled.Store(false)
+		s.simple(m.String)
+		s.ready()
+		return
+	case *pgproto3.Sync:
+		s.skipping = false
+		if err := s.endImplicit(); err != nil {
+			s.backend.Send(errorResponse(err))
+		}
+		s.portals = make(map[string]*portal)
+		s.ready()
+		s.canceled.Store(false)
+		return
+	case *pgproto3.Flush:
+		s.flush()
+		return
+	}
+	if s.skipping {
+		return
+	}
+	if err := s.extended(msg); err != nil {
+		s.fail()
+		s.skipping = true
+		s.backend.Send(errorResponse(err))
+	}
+}
+
+func errorResponse(err error) *pgproto3.ErrorResponse {
+	e := &pgError{code: "XX000", message: err.Error()}
+	errors.As(err, &e)
+	severity := "ERROR"
+	if e.fatal {
+		severity = "FATAL"
+	}
+	return &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: e.code, Message: e.message}
+}
+
+func (s *session) simple(sql string) {
+	stmts, err := s.member.parse(sql)
+	if err != nil {
+		s.fail()
+		s.backend.Send(errorResponse(err))
+		return
+	}
+	if len(stmts) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for _, stmt := range stmts {
+		if err := s.runOne(&plan{sql: sql, node: stmt.Stmt}); err != nil {
+			s.fail()
+			s.backend.Send(errorResponse(err))
+			return
+		}
+	}
+	if err := s.endImplicit(); err != nil {
+		s.backend.Send(errorResponse(err))
+	}
+}
+
+func (s *session) runOne(p *plan) error {
+	tag, err := s.run(p, nil, result{
+		describe: func(columns []column) error {
+			s.backend.Send(rowDescription(columns, nil))
+			return nil
+		},
+		row: func(values []any) error { return s.sendRow(values, nil, nil) },
+	})
+	if err != nil {
+		return err
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+// runAlone runs a statement in its own transaction and drops its rows.
+func (s *session) runAlone(p *plan) error {
+	_, err := s.run(p, nil, result{
+		describe: func([]column) error { return nil },
+		row:      func([]any) error { return nil },
+	})
+	if err != nil {
+		s.fail()
+		return err
+	}
+	return s.endImplicit()
+}
+
+// run executes one statement, opening an implicit transaction when none is open.
+func (s *session) run(p *plan, params []any, out result) (string, error) {
+	if n := p.node.GetTransactionStmt(); n != nil {
+		return s.transactionStatement(n)
+	}
+	if s.failed {
+		return "", sqlError("25P02", "current transaction is aborted, commands ignored until end of transaction block")
+	}
+	if err := s.interrupted(); err != nil {
+		return "", err
+	}
+	if s.tx == nil {
+		s.beginTx()
+	}
+	return s.execute(p, params, out)
+}
+
+func (s *session) beginTx() {
+	s.tx = s.member.store.begin(s.ended)
+	s.saved = make(map[string]string, len(s.settings))
+	for name, value := range s.settings {
+		s.saved[name] = value
+	}
+}
+
+func (s *session) transactionStatement(n *pgquery.TransactionStmt) (string, error) {
+	switch n.Kind {
+	case pgquery.TransactionStmtKind_TRANS_STMT_BEGIN, pgquery.TransactionStmtKind_TRANS_STMT_START:
+		if s.tx == nil {
+			s.beginTx()
+		}
+		s.explicit = true
+		for _, option := range n.Options {
+			if option.GetDefElem().GetDefname() == "transaction_read_only" {
+				s.readOnly = option.GetDefElem().GetArg().GetAConst().GetIval().GetIval() != 0
+			}
+		}
+		return "BEGIN", nil
+	case pgquery.TransactionStmtKind_TRANS_STMT_COMMIT:
+		if s.failed {
+			s.rollbackTx()
+			return "ROLLBACK", nil
+		}
+		return "COMMIT", s.commitTx()
+	case pgquery.TransactionStmtKind_TRANS_STMT_ROLLBACK:
+		s.rollbackTx()
+		return "ROLLBACK", nil
+	}
+	return "", sqlError("0A000", "savepoints are not supported")
+}
+
+func (s *session) commitTx() error {
+	tx := s.tx
+	s.tx, s.explicit, s.failed, s.readOnly = nil, false, false, false
+	for name, value := range s.local {
+		s.settings[name] = value
+	}
+	s.local = nil
+	if tx == nil {
+		return nil
+	}
+	s.wrote = s.wrote || len(tx.order) > 0
+	return s.member.commit(s, tx)
+}
+
+func (s *session) rollbackTx() {
+	if s.tx != nil {
+		s.member.rollback(s.tx)
+		s.settings = s.saved
+	}
+	s.tx, s.explicit, s.failed, s.readOnly, s.local = nil, false, false, false, nil
+}
+
+func (s *session) endImplicit() error {
+	if s.tx == nil || s.explicit {
+		return nil
+	}
+	return s.commitTx()
+}
+
+// fail marks an open transaction as failed, or drops an implicit one.
+func (s *session) fail() {
+	if s.explicit {
+		s.failed = true
+		return
+	}
+	s.rollbackTx()
+}
+
+func (s *session) rememberLocal(name string) {
+	if s.local == nil {
+		s.local = make(map[string]string)
+	}
+	if _, ok := s.local[name]; !ok {
+		s.local[name] = s.settings[name]
+	}
+}
+
+func (s *session) discardAll() {
+	s.settings = make(map[string]string)
+	s.saved = s.settings
+	s.prepared = make(map[string]*plan)
+}
+
+func (s *session) interrupted() error {
+	if s.ended() {
+		return sqlError("57P01", "terminating connection due to administrator command")
+	}
+	if s.canceled.Swap(false) {
+		return sqlError("57014", "canceling statement due to user request")
+	}
+	return nil
+}
+
+func (s *session) sleep(d time.Duration) error {
+	deadline := time.Now().Add(d)
+	for time.Now().Before(deadline) {
+		if err := s.interrupted(); err != nil {
+			return err
+		}
+		time.Sleep(min(5*time.Millisecond, time.Until(deadline)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/timeline/failovers.go
@@ -0,0 +1,67 @@
+package timeline
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Kinds of events that mark the steps of a failover.
+const (
+	KindPrimaryLost = "primary-lost"
+	KindClaim       = "claim"
+	KindFence       = "fence"
+	KindPromote     = "promote"
+	KindServing     = "serving"
+)
+
+// Failover is one change of the primary or the owner of a group.
+type Failover struct {
+	Group string
+	Steps []Event // from the first sign to serving
+}
+
+// Failovers finds the failovers in an ordered time line: per group, the events
+// from the loss of the primary, or a claim, up to serving.
+func Failovers(events []Event) []Failover {
+	open := make(map[string][]Event)
+	var found []Failover
+	for _, e := range events {
+		switch e.Kind {
+		case KindPrimaryLost, KindClaim:
+			if len(open[e.Group]) == 0 || e.Kind == KindPrimaryLost {
+				open[e.Group] = []Event{e}
+				continue
+			}
+			open[e.Group] = append(open[e.Group], e)
+		case KindFence, KindPromote, KindServing:
+			if len(open[e.Group]) == 0 {
+				continue
+			}
+			open[e.Group] = append(open[e.Group], e)
+			if e.Kind == KindServing {
+				found = append(found, Failover{Group: e.Group, Steps: open[e.Group]})
+				delete(open, e.Group)
+			}
+		}
+	}
+	return found
+}
+
+// Gap returns the time from the first step to the last.
+func (f Failover) Gap() time.Duration {
+	return f.Steps[len(f.Steps)-1].Clock.Time().Sub(f.Steps[0].Clock.Time())
+}
+
+// Report renders the steps with the time that each took.
+func (f Failover) Report() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "group %s, %s from the first sign to serving:\n", f.Group, f.Gap().Round(time.Millisecond/10))
+	last := f.Steps[0].Clock.Time()
+	for _, e := range f.Steps {
+		at := e.Clock.Time()
+		fmt.Fprintf(&b, "  +%-10s %-12s %-13s %-10s term %-4d %s\n", at.Sub(last).Round(time.Millisecond/10), e.Instance, e.Kind, e.Member, e.Term, e.Text)
+		last = at
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/upstream/batch.go
@@ -0,0 +1,339 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stackspindle/stackspindle/internal/group"
+)
+
+// Kinds of the messages in a batch. Those of the protocol keep their letters.
+const (
+	KindQuery          = 'Q'
+	KindParse          = 'P' // no bytes of its own: the statement is in Statements
+	KindBind           = 'B'
+	KindDescribe       = 'D'
+	KindExecute        = 'E'
+	KindClosePortal    = 'C'
+	KindCloseStatement = 'c' // no bytes: answered here
+	KindSync           = 'S'
+	KindFlush          = 'H'
+)
+
+// Statement is a prepared statement by content: two callers that prepare the
+// same text with the same types share it under the same name.
+type Statement struct {
+	Name          string
+	SQL           string
+	ParameterOIDs []uint32
+}
+
+// Batch is what a caller sent up to a Query, Sync or Flush.
+type Batch struct {
+	Wire       []byte
+	Kinds      []byte
+	Ends       []uint32 // where each message ends in Wire
+	Refs       []uint32 // 1-based index into Statements, 0: none
+	Statements []Statement
+	Probe      bool // ask for the log position after the batch
+}
+
+// Result is what is left of an answer when all else was emitted.
+type Result struct {
+	Wire     []byte         // the last chunk, which holds the acknowledgement
+	Position group.Position // zero unless Probe was set and answered
+	Failed   bool           // the answer holds an error
+	Emitted  bool           // part of the answer was emitted before
+}
+
+// expectation is what the next answers belong to.
+type expectation struct {
+	kind    byte
+	silent  bool   // the answer is not for the caller
+	prepare string // name of the statement that is known afterwards
+}
+
+const expectPosition = 'p' // the position probe
+
+// chunkSize is the least size of a chunk that is emitted early.
+const chunkSize = 32 << 10
+
+// firstChunk is the capacity that most answers fit in.
+const firstChunk = 512
+
+// Run sends a batch and hands on its answer. Rows are emitted in chunks as they
+// arrive; the rest, which always includes the command's completion, is
+// returned, so that the caller of Run decides whether it may be acknowledged.
+// Answers are matched to messages in order, so none can reach another request.
+func (c *Conn) Run(b *Batch, emit func(wire []byte) error) (Result, error) {
+	expected, err := c.encode(b)
+	if err != nil {
+		return Result{}, fmt.Errorf("upstream %s: %w: %w", c.target.Member, ErrNotSent, err)
+	}
+	if len(c.out) > 0 {
+		if _, err := c.conn.Write(c.out); err != nil {
+			c.Kill()
+			return Result{}, fmt.Errorf("upstream %s: %w: %w", c.target.Member, ErrUnknown, err)
+		}
+	}
+	// The answer outlives the lease of the connection, so its bytes are never
+	// those of a buffer that the next batch uses.
+	r := &reader{conn: c, expected: expected, emit: emit, chunk: make([]byte, 0, firstChunk)}
+	if err := r.read(); err != nil {
+		c.Kill()
+		return r.result, err
+	}
+	c.unsynced = !endsSynced(b.Kinds)
+	r.result.Wire = r.chunk
+	return r.result, nil
+}
+
+func endsSynced(kinds []byte) bool {
+	if len(kinds) == 0 {
+		return true
+	}
+	last := kinds[len(kinds)-1]
+	return last == KindQuery || last == KindSync
+}
+
+// encode fills c.out and returns what is expected back.
+func (c *Conn) encode(b *Batch) ([]expectation, error) {
+	c.out = c.out[:0]
+	expected := make([]expectation, 0, len(b.Kinds)+1)
+	start := uint32(0)
+	pending := make(map[string]bool)
+	for i, kind := range b.Kinds {
+		end := b.Ends[i]
+		if end < start || int(end) > len(b.Wire) || int(b.Refs[i]) > len(b.Statements) {
+			return nil, errors.New("malformed batch")
+		}
+		body := b.Wire[start:end]
+		start = end
+		if c.skipping && kind != KindSync {
+			continue
+		}
+		c.skipping = false
+		var err error
+		if expected, err = c.encodeOne(b, kind, body, b.Refs[i], pending, expected); err != nil {
+			return nil, err
+		}
+	}
+	if b.Probe {
+		var err error
+		if c.out, err = (&pgproto3.Query{String: positionQuery}).Encode(c.out); err != nil {
+			return nil, err
+		}
+		expected = append(expected, expectation{kind: expectPosition, silent: true})
+	}
+	return expected, nil
+}
+
+func (c *Conn) encodeOne(b *Batch, kind byte, body []byte, ref uint32, pending map[string]bool, expected []expectation) ([]expectation, error) {
+	if kind == KindCloseStatement {
+		return c.encodeClose(b, ref, expected)
+	}
+	if ref > 0 {
+		s := &b.Statements[ref-1]
+		known := c.prepared[s.Name] || pending[s.Name]
+		if !known {
+			var err error
+			parse := pgproto3.Parse{Name: s.Name, Query: s.SQL, ParameterOIDs: s.ParameterOIDs}
+			if c.out, err = parse.Encode(c.out); err != nil {
+				return nil, err
+			}
+			pending[s.Name] = true
+			expected = append(expected, expectation{kind: KindParse, silent: kind != KindParse, prepare: s.Name})
+		}
+		if kind == KindParse {
+			if known {
+				expected = append(expected, expectation{kind: syntheticParse})
+			}
+			return expected, nil
+		}
+	}
+	c.out = append(c.out, body...)
+	if kind == KindFlush {
+		return expected, nil
+	}
+	return append(expected, expectation{kind: kind}), nil
+}
+
+// encodeClose forgets a statement here too, since callers close statements whose
+// plans have become invalid, and answers the caller itself.
+func (c *Conn) encodeClose(b *Batch, ref uint32, expected []expectation) ([]expectation, error) {
+	if ref > 0 && c.prepared[b.Statements[ref-1].Name] {
+		name := b.Statements[ref-1].Name
+		var err error
+		if c.out, err = (&pgproto3.Close{ObjectType: 'S', Name: name}).Encode(c.out); err != nil {
+			return nil, err
+		}
+		delete(c.prepared, name)
+		expected = append(expected, expectation{kind: KindClosePortal, silent: true})
+	}
+	return append(expected, expectation{kind: KindCloseStatement}), nil
+}
+
+// Kinds of expectations that are met without the member.
+const syntheticParse = 'p' + 1
+
+// reader takes in the answer to one batch.
+type reader struct {
+	conn     *Conn
+	expected []expectation
+	emit     func([]byte) error
+	chunk    []byte
+	result   Result
+}
+
+func (r *reader) read() error {
+	for {
+		if err := r.synthesize(); err != nil {
+			return err
+		}
+		if len(r.expected) == 0 {
+			return nil
+		}
+		msg, err := r.conn.frontend.Receive()
+		if err != nil {
+			return fmt.Errorf("upstream %s: %w: %w", r.conn.target.Member, ErrUnknown, err)
+		}
+		if err := r.take(msg); err != nil {
+			return err
+		}
+	}
+}
+
+// synthesize answers the messages at the head that the member never saw.
+func (r *reader) synthesize() error {
+	for len(r.expected) > 0 {
+		var msg pgproto3.BackendMessage
+		switch r.expected[0].kind {
+		case syntheticParse:
+			msg = &pgproto3.ParseComplete{}
+		case KindCloseStatement:
+			msg = &pgproto3.CloseComplete{}
+		default:
+			return nil
+		}
+		r.expected = r.expected[1:]
+		if err := r.relay(msg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *reader) relay(msg pgproto3.BackendMessage) error {
+	var err error
+	r.chunk, err = msg.Encode(r.chunk)
+	return err
+}
+
+// done reports which message completes an expectation.
+func done(kind byte, msg pgproto3.BackendMessage) bool {
+	switch msg.(type) {
+	case *pgproto3.ParseComplete:
+		return kind == KindParse
+	case *pgproto3.BindComplete:
+		return kind == KindBind
+	case *pgproto3.CloseComplete:
+		return kind == KindClosePortal
+	case *pgproto3.RowDescription, *pgproto3.NoData:
+		return kind == KindDescribe
+	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		return kind == KindExecute
+	case *pgproto3.ReadyForQuery:
+		return kind == KindSync || kind == KindQuery || kind == expectPosition
+	}
+	return false
+}
+
+// part reports which messages may come before the one that completes.
+func part(kind byte, msg pgproto3.BackendMessage) bool {
+	switch msg.(type) {
+	case *pgproto3.DataRow:
+		return kind == KindExecute || kind == KindQuery || kind == expectPosition
+	case *pgproto3.ParameterDescription:
+		return kind == KindDescribe
+	case *pgproto3.RowDescription, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse:
+		return kind == KindQuery || kind == expectPosition
+	case *pgproto3.ErrorResponse, *pgproto3.NoticeResponse, *pgproto3.ParameterStatus:
+		return true
+	}
+	return false
+}
+
+func (r *reader) take(msg pgproto3.BackendMessage) error {
+	head := r.expected[0]
+	completes := done(head.kind, msg)
+	if !completes && !part(head.kind, msg) {
+		return fmt.Errorf("upstream %s: %T: %w", r.conn.target.Member, msg, ErrProtocol)
+	}
+	if ready, ok := msg.(*pgproto3.ReadyForQuery); ok && head.kind != expectPosition {
+		r.conn.status = ready.TxStatus
+	}
+	if head.kind == expectPosition {
+		r.takePosition(msg)
+	}
+	if e, ok := msg.(*pgproto3.ErrorResponse); ok {
+		return r.takeError(head, e)
+	}
+	if completes {
+		r.expected = r.expected[1:]
+		if head.prepare != "" {
+			r.conn.prepared[head.prepare] = true
+		}
+	}
+	if head.silent {
+		return nil
+	}
+	if err := r.relay(msg); err != nil {
+		return err
+	}
+	if _, ok := msg.(*pgproto3.DataRow); ok && len(r.chunk) >= chunkSize {
+		return r.flush()
+	}
+	return nil
+}
+
+func (r *reader) takePosition(msg pgproto3.BackendMessage) {
+	row, ok := msg.(*pgproto3.DataRow)
+	if !ok || len(row.Values) != 1 {
+		return
+	}
+	if p, err := parsePosition([]string{string(row.Values[0])}); err == nil {
+		r.result.Position = p
+	}
+}
+
+// takeError skips what the member will not answer: everything up to Sync.
+func (r *reader) takeError(head expectation, e *pgproto3.ErrorResponse) error {
+	if head.kind == expectPosition {
+		return nil // the batch left a transaction open; there is no position
+	}
+	if e.Severity == "FATAL" || e.SeverityUnlocalized == "FATAL" {
+		return fmt.Errorf("upstream %s: %w: %s (%s)", r.conn.target.Member, ErrUnknown, e.Message, e.Code)
+	}
+	r.result.Failed = true
+	if err := r.relay(e); err != nil {
+		return err
+	}
+	if head.kind == KindQuery {
+		return nil
+	}
+	for len(r.expected) > 0 && r.expected[0].kind != KindSync {
+		r.expected = r.expected[1:]
+	}
+	r.conn.skipping = len(r.expected) == 0
+	return nil
+}
+
+func (r *reader) flush() error {
+	if err := r.emit(r.chunk); err != nil {
+		return fmt.Errorf("upstream %s: %w: the caller is gone: %w", r.conn.target.Member, ErrUnknown, err)
+	}
+	r.result.Emitted = true
+	r.chunk = make([]byte, 0, chunkSize+chunkSize/4)
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/control.go
@@ -0,0 +1,176 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stackspindle/stackspindle/internal/failover"
+	"github.com/stackspindle/stackspindle/internal/group"
+)
+
+// Control is the control connection to one member: it carries status requests,
+// heartbeats and the steps of a failover. It is used by one goroutine.
+type Control struct {
+	target  Target
+	timeout time.Duration
+	now     func() time.Duration
+
+	mu   sync.Mutex // guards conn against Close
+	conn *pgconn.PgConn
+}
+
+// NewControl returns a control connection that is opened at first use.
+func NewControl(target Target, timeout time.Duration, now func() time.Duration) *Control {
+	return &Control{target: target, timeout: timeout, now: now}
+}
+
+// Do carries out one request. A connection that proves broken is opened again
+// once, since a member may have closed it long ago.
+func (c *Control) Do(ctx context.Context, s failover.Send, self string) failover.Reply {
+	reply := c.try(ctx, s, self)
+	if reply.Failure == failover.FailHard {
+		return c.try(ctx, s, self)
+	}
+	return reply
+}
+
+func (c *Control) try(ctx context.Context, s failover.Send, self string) failover.Reply {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	reply := failover.Reply{Member: s.Member, Op: s.Op, Term: s.Term, Sent: c.now()}
+	status, err := c.exec(ctx, controlQuery(s, self))
+	if err == nil {
+		reply.Status = status
+		return reply
+	}
+	reply.Failure = classify(err)
+	if reply.Failure != failover.FailRefused {
+		c.Close()
+	}
+	return reply
+}
+
+// classify tells how a request failed. An answer, even an error, is a sign of
+// life; only a connection that is refused or breaks is a sign of death.
+func classify(err error) failover.Failure {
+	var refused *pgconn.PgError
+	switch {
+	case errors.As(err, &refused) && refused.Severity != "FATAL":
+		return failover.FailRefused
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled), pgconn.Timeout(err):
+		return failover.FailSilent
+	}
+	return failover.FailHard
+}
+
+func controlQuery(s failover.Send, self string) string {
+	switch s.Op {
+	case failover.OpHeartbeat:
+		return fmt.Sprintf("SELECT * FROM group_heartbeat(%d,'%s',%d,%d)", s.Term, self, s.Acked.Term, s.Acked.Index)
+	case failover.OpFence:
+		return fmt.Sprintf("SELECT * FROM group_fence(%d,'%s')", s.Term, self)
+	case failover.OpPromote:
+		return fmt.Sprintf("SELECT * FROM group_promote(%d)", s.Term)
+	case failover.OpFollow:
+		return fmt.Sprintf("SELECT * FROM group_follow(%d,'%s')", s.Term, s.Leader)
+	case failover.OpRelease:
+		return fmt.Sprintf("SELECT * FROM group_release(%d,'%s')", s.Term, self)
+	}
+	return "SELECT * FROM group_status()"
+}
+
+func (c *Control) exec(ctx context.Context, sql string) (group.Status, error) {
+	conn, err := c.open(ctx)
+	if err != nil {
+		return group.Status{}, err
+	}
+	results, err := conn.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		return group.Status{}, err
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return group.Status{}, ErrProtocol
+	}
+	return parseStatus(string(results[0].Rows[0][0]))
+}
+
+func (c *Control) open(ctx context.Context) (*pgconn.PgConn, error) {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil && !conn.IsClosed() {
+		return conn, nil
+	}
+	cfg, err := c.target.config(0)
+	if err != nil {
+		return nil, err
+	}
+	conn, err = pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.conn = conn
+	c.mu.Unlock()
+	return conn, nil
+}
+
+// closeTimeout bounds the farewell to a member that does not answer.
+const closeTimeout = 10 * time.Millisecond
+
+// Close ends the connection. The next Do opens another.
+func (c *Control) Close() {
+	c.mu.Lock()
+	conn := c.conn
+	c.conn = nil
+	c.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = conn.Close(ctx) // the connection is of no further use either way
+}
+
+// statusFields is the number of fields of a status line.
+const statusFields = 10
+
+// parseStatus reads "term role logterm logindex owner age_us released linked
+// ackterm ackindex". An owner of "-" is none.
+func parseStatus(line string) (group.Status, error) {
+	f := strings.Fields(line)
+	if len(f) != statusFields {
+		return group.Status{}, fmt.Errorf("status %q: %w", line, ErrProtocol)
+	}
+	var numbers [statusFields]int64
+	for _, i := range []int{0, 2, 3, 5, 8, 9} {
+		n, err := strconv.ParseInt(f[i], 10, 64)
+		if err != nil {
+			return group.Status{}, fmt.Errorf("status %q: %w", line, ErrProtocol)
+		}
+		numbers[i] = n
+	}
+	st := group.Status{
+		Term:         uint64(numbers[0]),
+		Role:         group.Role(f[1]),
+		Position:     group.Position{Term: uint64(numbers[2]), Index: uint64(numbers[3])},
+		Owner:        f[4],
+		HeartbeatAge: time.Duration(numbers[5]) * time.Microsecond,
+		Released:     f[6] == "true",
+		Linked:       f[7] == "true",
+		Acknowledged: group.Position{Term: uint64(numbers[8]), Index: uint64(numbers[9])},
+	}
+	if st.Owner == "-" {
+		st.Owner = ""
+	}
+	if numbers[5] < 0 {
+		st.HeartbeatAge = -1
+	}
+	return st, nil
+}
