End-to-end tests of the callers' path; idle connections are looked at before use

Cause: killing the members left idle connections in the pools, and the first statement on each got an unknown outcome (08007) although it had not run. Ruled out: emptying the pool on a failed heartbeat alone, since up to a heartbeat passes before that. Change: a connection taken from the idle list is peeked at; one that is closed, or has something to say, is dropped. Tests with pgx cover all its query modes, pipelines, errors in transactions, refusals, settings, vanished callers, cancel through another instance, half answers and authentication.

--- /dev/null
+++ b/internal/e2e/caller_test.go
@@ -0,0 +1,273 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/config"
+	"github.com/stackspindle/stackspindle/internal/standin"
+)
+
+func TestCallerUsesEveryProtocol(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 3})
+	modes := []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement,
+		pgx.QueryExecModeCacheDescribe,
+		pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec,
+		pgx.QueryExecModeSimpleProtocol,
+	}
+	for m, mode := range modes {
+		for i, inst := range fleet.Instances {
+			conn := connect(t, inst.CallerAddr(), "", func(c *pgx.ConnConfig) { c.DefaultQueryExecMode = mode })
+			for round := range 3 {
+				id := 1000*m + 100*i + round
+				exec(t, conn, "INSERT INTO shifts (id, volunteer, state) VALUES ($1, $2, 'open')", id, "amal")
+				must.Eq(t, 1, count(t, conn, id))
+			}
+			var volunteer string
+			err := conn.QueryRow(testContext(t), "SELECT volunteer FROM shifts WHERE id = $1", 1000*m+100*i).Scan(&volunteer)
+			must.NoError(t, err)
+			must.Eq(t, "amal", volunteer)
+		}
+	}
+}
+
+func TestPipelinedBatch(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2})
+	for _, inst := range fleet.Instances {
+		conn := connect(t, inst.CallerAddr(), "")
+		batch := &pgx.Batch{}
+		base := 100
+		if inst == fleet.Instances[1] {
+			base = 200
+		}
+		for i := range 5 {
+			batch.Queue("INSERT INTO shifts VALUES ($1, 'b', 'open')", base+i)
+			batch.Queue("SELECT id FROM shifts WHERE id = $1", base+i)
+		}
+		results := conn.SendBatch(testContext(t), batch)
+		for i := range 5 {
+			_, err := results.Exec()
+			must.NoError(t, err)
+			var id int
+			must.NoError(t, results.QueryRow().Scan(&id))
+			must.Eq(t, base+i, id)
+		}
+		must.NoError(t, results.Close())
+	}
+}
+
+func TestTransactionsAndErrors(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2})
+	for i, inst := range fleet.Instances {
+		conn := connect(t, inst.CallerAddr(), "")
+		exec(t, conn, "INSERT INTO shifts VALUES ($1, 'a', 'open')", i)
+		tx, err := conn.Begin(testContext(t))
+		must.NoError(t, err)
+		_, err = tx.Exec(testContext(t), "UPDATE shifts SET state = 'done' WHERE id = $1", i)
+		must.NoError(t, err)
+		_, err = tx.Exec(testContext(t), "INSERT INTO shifts VALUES ($1, 'a', 'open')", i)
+		must.Eq(t, "23505", sqlState(err))
+		_, err = tx.Exec(testContext(t), "SELECT 1")
+		must.Eq(t, "25P02", sqlState(err))
+		must.NoError(t, tx.Rollback(testContext(t)))
+		var state string
+		must.NoError(t, conn.QueryRow(testContext(t), "SELECT state FROM shifts WHERE id = $1", i).Scan(&state))
+		must.Eq(t, "open", state)
+	}
+}
+
+// What sharing cannot serve is refused before it reaches a member, and inside a
+// transaction it fails that transaction.
+func TestRefusedStatementsAreNotRun(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 1})
+	conn := connect(t, fleet.Instances[0].CallerAddr(), "")
+	for _, sql := range []string{
+		"COPY shifts TO STDOUT", "LISTEN news", "CREATE TEMP TABLE x (id int)", "PREPARE p AS SELECT 1",
+		"SELECT pg_advisory_lock(1)", "SELECT * FROM group_fence(99, 'me')", "SELECT * INTO TEMP x FROM shifts",
+	} {
+		_, err := conn.Exec(testContext(t), sql)
+		must.Eq(t, "0A000", sqlState(err), must.Sprint(sql))
+	}
+	tx, err := conn.Begin(testContext(t))
+	must.NoError(t, err)
+	_, err = tx.Exec(testContext(t), "INSERT INTO shifts VALUES (7, 'a', 'open')")
+	must.NoError(t, err)
+	_, err = tx.Exec(testContext(t), "LISTEN news")
+	must.Eq(t, "0A000", sqlState(err))
+	must.Error(t, tx.Commit(testContext(t)))
+	must.Eq(t, 0, count(t, conn, 7))
+}
+
+// Callers share few connections; each must get its own answers whole. A buffer
+// that an answer shared with the next batch on its connection broke this.
+func TestConcurrentAnswersStayApart(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2, Connections: 3})
+	var wait sync.WaitGroup
+	for c := range 16 {
+		inst := fleet.Instances[c%2]
+		conn := connect(t, inst.CallerAddr(), "")
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range 60 {
+				want := strings.Repeat(fmt.Sprintf("%02d.%03d ", c, i), 1+(c*i)%40)
+				var got string
+				if err := conn.QueryRow(context.Background(), "SELECT $1::text", want).Scan(&got); err != nil || got != want {
+					t.Errorf("caller %d: got %q, want %q, error %v", c, got, want, err)
+					return
+				}
+			}
+		}()
+	}
+	wait.Wait()
+}
+
+// A big answer passes in chunks through two hops.
+func TestBigResultArrivesWhole(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2})
+	for _, inst := range fleet.Instances {
+		conn := connect(t, inst.CallerAddr(), "")
+		rows, err := conn.Query(testContext(t), "SELECT generate_series, repeat('x', 1000) FROM generate_series(1, 20000)")
+		must.NoError(t, err)
+		n := 0
+		for rows.Next() {
+			n++
+			var i int
+			var x string
+			must.NoError(t, rows.Scan(&i, &x))
+			must.Eq(t, n, i)
+			must.Eq(t, 1000, len(x))
+		}
+		must.NoError(t, rows.Err())
+		must.Eq(t, 20000, n)
+	}
+}
+
+// A member that dies in the middle of an answer must not make it look complete.
+func TestHalfAnswerIsAnError(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2})
+	for i, inst := range fleet.Instances {
+		conn := connect(t, inst.CallerAddr(), "")
+		rows, err := conn.Query(testContext(t), "SELECT generate_series, repeat('x', 1000) FROM generate_series(1, 100000000)")
+		must.NoError(t, err)
+		for range 1000 {
+			must.True(t, rows.Next())
+		}
+		for i := range 3 {
+			fleet.Group.Member(i).Kill()
+		}
+		for rows.Next() {
+			continue
+		}
+		must.Error(t, rows.Err())
+		for i := range 3 {
+			must.NoError(t, fleet.Group.Member(i).Restart())
+		}
+		insertUntilServed(t, inst.CallerAddr(), 1000*i)
+	}
+}
+
+// Settings follow their caller over shared connections and reach nobody else.
+func TestSettingsStayWithTheirCaller(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2, Connections: 2})
+	a := connect(t, fleet.Instances[0].CallerAddr(), "")
+	b := connect(t, fleet.Instances[1].CallerAddr(), "")
+	show := func(conn *pgx.Conn) string {
+		var value string
+		must.NoError(t, conn.QueryRow(testContext(t), "SHOW search_path").Scan(&value))
+		return value
+	}
+	exec(t, a, "SET search_path TO 'desk'")
+	for range 5 {
+		must.Eq(t, "desk", show(a))
+		must.Eq(t, "", show(b))
+	}
+	exec(t, a, "BEGIN")
+	exec(t, a, "SET search_path TO 'other'")
+	exec(t, a, "ROLLBACK")
+	must.Eq(t, "desk", show(a))
+	exec(t, a, "RESET ALL")
+	must.Eq(t, "", show(a))
+}
+
+// A caller that vanishes in a transaction leaves nothing behind.
+func TestVanishedCallerIsRolledBack(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2, Connections: 2})
+	for i, inst := range fleet.Instances {
+		conn, err := dial(testContext(t), inst.CallerAddr(), "")
+		must.NoError(t, err)
+		exec(t, conn, "BEGIN")
+		exec(t, conn, "INSERT INTO shifts VALUES ($1, 'gone', 'open')", i)
+		must.NoError(t, conn.PgConn().Conn().Close())
+		other := connect(t, inst.CallerAddr(), "")
+		eventually(t, "the row's lock is free", func() bool {
+			_, err := other.Exec(testContext(t), "INSERT INTO shifts VALUES ($1, 'next', 'open')", i)
+			return err == nil
+		})
+	}
+}
+
+// A cancel request stops its own statement, also when the balancer brings it to
+// another instance, and never one of somebody else.
+func TestCancelReachesOnlyItsStatement(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 2, Connections: 4})
+	for _, inst := range fleet.Instances {
+		victim := connect(t, inst.CallerAddr(), "")
+		other := connect(t, inst.CallerAddr(), "")
+		results := make(map[*pgx.Conn]chan error)
+		for _, conn := range []*pgx.Conn{victim, other} {
+			done := make(chan error, 1)
+			results[conn] = done
+			go func() {
+				_, err := conn.Exec(context.Background(), "SELECT pg_sleep(2)")
+				done <- err
+			}()
+		}
+		eventually(t, "the statement is canceled", func() bool {
+			cancelThrough(t, fleet.Instances[1].CallerAddr(), victim)
+			select {
+			case err := <-results[victim]:
+				must.Eq(t, "57014", sqlState(err))
+				return true
+			default:
+				return false
+			}
+		})
+		must.NoError(t, <-results[other])
+	}
+}
+
+func cancelThrough(t *testing.T, addr string, conn *pgx.Conn) {
+	t.Helper()
+	cfg := conn.PgConn()
+	other, err := dialRaw(addr)
+	must.NoError(t, err)
+	defer other.Close()
+	must.NoError(t, sendCancel(other, cfg.PID(), cfg.SecretKey()))
+}
+
+func TestAuthentication(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 1, Adjust: func(s *config.Settings) {
+		s.Caller.Authenticate = true
+		s.Credentials["roster-app"] = "open sesame"
+	}})
+	spec := fleet.Service()
+	spec.Service.Credential = "roster-app"
+	revision := fleet.Put(spec)
+	eventually(t, "the credential is in force", func() bool { return fleet.Instances[0].Revision() >= revision })
+	addr := fleet.Instances[0].CallerAddr()
+	_, err := dial(testContext(t), addr, "", func(c *pgx.ConnConfig) { c.Password = "wrong" })
+	must.Eq(t, "28P01", sqlState(err))
+	_, err = dial(testContext(t), addr, "", func(c *pgx.ConnConfig) { c.User, c.Password = "nobody", "open sesame" })
+	must.Eq(t, "28P01", sqlState(err))
+	conn := connect(t, addr, "", func(c *pgx.ConnConfig) { c.Password = "open sesame" })
+	must.Eq(t, 0, count(t, conn, 1))
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -88,6 +88,20 @@
 	return f, nil
 }
 
+// Service returns the service that the fleet declares.
+func (f *Fleet) Service() resource.Resource {
+	return resource.Resource{
+		Kind:     resource.KindService,
+		Metadata: resource.Metadata{Name: f.opts.Database, Generation: 1},
+		Service: &resource.ServiceSpec{
+			Databases:    []string{f.opts.Database},
+			Staleness:    resource.Duration(f.opts.Staleness),
+			QueueTimeout: resource.Duration(3 * time.Second),
+			Weight:       1,
+		},
+	}
+}
+
 // Prefix is where the configuration lives in the key-value stand-in.
 const Prefix = "stackspindle/"
 
@@ -120,16 +134,7 @@
 		Metadata: resource.Metadata{Name: f.opts.Database, Generation: 1},
 		Database: spec,
 	})
-	f.Put(resource.Resource{
-		Kind:     resource.KindService,
-		Metadata: resource.Metadata{Name: f.opts.Database, Generation: 1},
-		Service: &resource.ServiceSpec{
-			Databases:    []string{f.opts.Database},
-			Staleness:    resource.Duration(f.opts.Staleness),
-			QueueTimeout: resource.Duration(3 * time.Second),
-			Weight:       1,
-		},
-	})
+	f.Put(f.Service())
 	for _, s := range f.opts.Services {
 		f.Put(s)
 	}
--- a/internal/standin/pggroup/write.go
+++ b/internal/standin/pggroup/write.go
@@ -339,7 +339,9 @@
 		for i, arg := range n.FuncCall.Args {
 			if n.FuncCall.Funcname[0].GetString_().GetSval() == "repeat" && i == 1 {
 				visit(arg, oidInt4)
+				continue
 			}
+			visitTypes(arg, t, visit)
 		}
 	case *pgquery.Node_ParamRef:
 		visit(node, oidText)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -212,9 +212,10 @@
 	for len(p.idle) > 0 {
 		conn := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if !conn.Broken() {
+		if conn.alive() {
 			return conn
 		}
+		conn.Kill()
 		delete(p.all, conn)
 	}
 	return nil
