Proofs on the real path: failures of primaries, owners, store and operators

Cause: tests that bring each fault about, which failed first. - Two candidates fenced against each other after an owner's death: each raised the term over the other's. A refused fence now ends a claim, and later candidates let the former owner be silent a little longer. - A Parse that was refused or failed left its name behind, so drivers that prepare again got 42P05 for ever. Names of batches not run are forgotten. - An owner's announcement broke the streams to that very owner when it was in use before it was announced (a first write got 08007 at start). - Work was sent while the owner's lease had lapsed; it now waits, and is refused as not run at its deadline. - accept_loss was used up by the driver's preparing batch. - A leaving member kept idle connections. Ruled out for the first: slower claims alone, since both candidates had waited for the members to call the owner silent and then acted in the same tick.

--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -17,6 +17,7 @@
 type prepared struct {
 	statement *peerpb.Statement
 	class     *sqlclass.Class
+	doubtful  bool // its Parse came in a batch that failed: it may be parsed again
 }
 
 // batch collects the messages up to a Query, Sync or Flush.
@@ -31,6 +32,7 @@
 	readOnly   bool // begins a READ ONLY transaction
 	ownCount   int  // statements answered without any upstream
 	executed   int
+	parsed     []string // names of the statements that the batch prepares
 }
 
 func newBatch() *batch {
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -236,12 +236,30 @@
 	return err
 }
 
+// forgetParsed drops the statements of a batch that was not run.
+func (c *conn) forgetParsed(b *batch) {
+	for _, name := range b.parsed {
+		delete(c.prepared, name)
+	}
+}
+
+// doubtParsed marks the statements of a batch that a member answered with an
+// error, which may have been about any of its messages.
+func (c *conn) doubtParsed(b *batch) {
+	for _, name := range b.parsed {
+		if p := c.prepared[name]; p != nil {
+			p.doubtful = true
+		}
+	}
+}
+
 // rejectExtended answers an extended message with an error of ours. What was
 // collected before it is dropped; all that follows is skipped up to Sync.
 func (c *conn) rejectExtended(f *failure) error {
 	c.server.events.Refused(f.code)
 	c.skipping = true
 	c.failedTx = c.failedTx || c.status != 'I'
+	c.forgetParsed(c.batch)
 	c.batch = newBatch()
 	c.backend.Send(f.response())
 	return c.flush()
@@ -331,7 +349,7 @@
 	if reason := class.Refusal(); reason != "" {
 		return fail(codeFeature, "not run: %s cannot be served over shared connections", reason)
 	}
-	if _, ok := c.prepared[m.Name]; ok && m.Name != "" {
+	if known := c.prepared[m.Name]; known != nil && !known.doubtful && m.Name != "" {
 		return fail("42P05", "not run: prepared statement %q already exists", m.Name)
 	}
 	if len(c.prepared) >= maxPreparedPerCaller {
@@ -343,6 +361,7 @@
 		class:     class,
 	}
 	c.prepared[m.Name] = p
+	c.batch.parsed = append(c.batch.parsed, m.Name)
 	return c.batch.add(kindParse, nil, c.batch.reference(p))
 }
 
@@ -408,6 +427,7 @@
 		return c.answerOwn(b, complete)
 	}
 	if c.failedTx {
+		c.forgetParsed(b)
 		return c.answerFailed(b)
 	}
 	return c.dispatch(b, complete)
@@ -520,6 +540,7 @@
 	started := time.Now()
 	result := c.tx.Run(c.ctx, req, c.session.service.QueueTimeout, c.write)
 	if result.Done.Refusal != peerpb.Refusal_REFUSAL_NONE {
+		c.forgetParsed(b)
 		return c.refused(result, complete)
 	}
 	c.server.events.Statement(result.Done.Member, req.Class == peerpb.Class_CLASS_READ, result.Done.Primary, time.Since(started))
@@ -531,10 +552,15 @@
 	if complete {
 		c.status = byte(done.TxStatus)
 	}
+	if c.session.acceptLoss {
+		c.session.floor = group.Position{} // the owner has dropped its own
+	}
 	if p := done.Position; p != nil {
 		c.session.floor = group.Max(c.session.floor, group.Position{Term: p.Term, Index: p.Index})
 	}
-	if !done.Failed {
+	if done.Failed {
+		c.doubtParsed(b)
+	} else {
 		c.session.noteSettings(b.statements)
 	}
 	if complete && c.status == 'I' {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,8 +44,13 @@
 	owner  string // "" when not known
 	term   uint64 // in which the owner announced itself, 0 when it did not
 	budget *retry.Budget
-	epoch  context.Context // ends when another owner announces itself
-	end    context.CancelFunc
+	epochs map[string]*epoch // by instance that is used as the owner
+}
+
+// epoch lasts until another instance announces itself as the owner.
+type epoch struct {
+	ctx context.Context
+	end context.CancelFunc
 }
 
 // New returns a dispatcher for an instance.
@@ -157,7 +162,7 @@
 		return Result{}, err
 	}
 	t.setStream(stream)
-	t.epoch = t.d.epoch(req.Header.Group)
+	t.epoch = t.d.epoch(req.Header.Group, target)
 	return t.attempt(ctx, req, emit)
 }
 
@@ -246,8 +251,7 @@
 func (d *Dispatcher) routeLocked(group string) *route {
 	r := d.routes[group]
 	if r == nil {
-		r = &route{budget: retry.NewBudget()}
-		r.epoch, r.end = context.WithCancel(context.Background())
+		r = &route{budget: retry.NewBudget(), epochs: make(map[string]*epoch)}
 		d.routes[group] = r
 	}
 	return r
@@ -265,14 +269,23 @@
 	return retry.Next(o, d.routeLocked(group).budget)
 }
 
-func (d *Dispatcher) epoch(group string) context.Context {
+// epoch returns a context that ends when an instance other than target
+// announces itself as the owner of the group.
+func (d *Dispatcher) epoch(group, target string) context.Context {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.routeLocked(group).epoch
+	r := d.routeLocked(group)
+	e := r.epochs[target]
+	if e == nil {
+		e = &epoch{}
+		e.ctx, e.end = context.WithCancel(context.Background())
+		r.epochs[target] = e
+	}
+	return e.ctx
 }
 
-// SetOwner takes in the announcement of an owner. What is in flight at an older
-// one is given up, since its answers could not be passed on any more.
+// SetOwner takes in the announcement of an owner. What is in flight at any other
+// instance is given up, since its answers could not be passed on any more.
 func (d *Dispatcher) SetOwner(group, name string, term uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -280,11 +293,12 @@
 	if term <= r.term {
 		return
 	}
-	moved := r.owner != name
 	r.owner, r.term = name, term
-	if moved {
-		r.end()
-		r.epoch, r.end = context.WithCancel(context.Background())
+	for target, e := range r.epochs {
+		if target != name {
+			e.end()
+			delete(r.epochs, target)
+		}
 	}
 }
 
--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/shoenig/test/must"
@@ -175,6 +176,28 @@
 	}
 }
 
+// A statement whose preparation was refused is not known; preparing it again
+// under its name works once the refusal's cause is gone.
+func TestRefusedPrepareIsForgotten(t *testing.T) {
+	fleet := startFleet(t, standin.Options{Instances: 1, QueueTimeout: 100 * time.Millisecond})
+	conn := connect(t, fleet.Instances[0].CallerAddr(), "")
+	for i := range 3 {
+		fleet.Group.Member(i).Kill()
+	}
+	eventually(t, "the group is out of service", func() bool {
+		_, err := conn.Exec(testContext(t), "INSERT INTO shifts VALUES ($1, 'p', 'open')", 1)
+		return sqlState(err) == "57P03"
+	})
+	for i := range 3 {
+		must.NoError(t, fleet.Group.Member(i).Restart())
+	}
+	eventually(t, "the statement is prepared and run", func() bool {
+		_, err := conn.Exec(testContext(t), "INSERT INTO shifts VALUES ($1, 'p', 'open')", 2)
+		must.NotEq(t, "42P05", sqlState(err))
+		return err == nil
+	})
+}
+
 // Settings follow their caller over shared connections and reach nobody else.
 func TestSettingsStayWithTheirCaller(t *testing.T) {
 	fleet := startFleet(t, standin.Options{Instances: 2, Connections: 2})
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -103,9 +103,12 @@
 // Claim asks for the group to be taken over.
 type Claim struct {
 	Reason string
-	From   string         // former owner that has stopped and consents, or ""
-	Term   uint64         // term that From gave up
-	Acked  group.Position // highest position that From acknowledged
+	// Patience is added to the silence after which an owner counts as gone, so
+	// that several candidates do not claim at the same moment.
+	Patience time.Duration
+	From     string         // former owner that has stopped and consents, or ""
+	Term     uint64         // term that From gave up
+	Acked    group.Position // highest position that From acknowledged
 }
 
 // Reply is the outcome of one request to a member.
@@ -207,23 +210,25 @@
 	names   []string
 	members map[string]*member
 
-	phase    Phase
-	term     uint64
-	primary  string
-	suspect  string // member that need not be waited for while fencing
-	avoid    string // member that is not to be promoted
-	from     string // former owner whose lease need not be waited for
-	fromTerm uint64
-	acked    group.Position
-	started  time.Duration // of the current phase
-	until    time.Duration // when the leases of all former owners have lapsed
-	lastTick time.Duration
-	lastBeat time.Duration
-	moves    []time.Duration
-	leaving  map[string]bool
-	claimed  bool
-	drained  bool
-	former   string // primary before the current claim
+	phase     Phase
+	term      uint64
+	primary   string
+	suspect   string // member that need not be waited for while fencing
+	avoid     string // member that is not to be promoted
+	from      string // former owner whose lease need not be waited for
+	fromTerm  uint64
+	patience  time.Duration
+	acked     group.Position
+	started   time.Duration // of the current phase
+	until     time.Duration // when the leases of all former owners have lapsed
+	lastTick  time.Duration
+	lastBeat  time.Duration
+	moves     []time.Duration
+	leaving   map[string]bool
+	claimed   bool
+	drained   bool
+	lastDrain time.Duration
+	former    string // primary before the current claim
 }
 
 // New returns the state of an instance that does not own the group.
@@ -302,7 +307,7 @@
 	if s.phase != Standby {
 		return nil
 	}
-	s.from, s.fromTerm = e.From, e.Term
+	s.from, s.fromTerm, s.patience = e.From, e.Term, e.Patience
 	s.acked = group.Max(s.acked, e.Acked)
 	s.claimed = true
 	s.enter(now, Observing)
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -269,3 +269,16 @@
 	}
 	must.True(t, found)
 }
+
+// Two claims at once: the one that finds the members fenced by the other ends,
+// and does not raise the term against it.
+func TestRefusedFenceEndsTheClaim(t *testing.T) {
+	x := newScript(t, DefaultConfig())
+	x.step(Claim{Reason: "test"})
+	for _, name := range []string{"a", "b", "c"} {
+		x.answer(name, OpStatus, replicaStatus(1, 10))
+	}
+	must.Eq(t, Fencing, x.s.Phase())
+	x.step(Reply{Member: "a", Op: OpFence, Term: x.s.Term(), Failure: FailRefused})
+	must.Eq(t, Standby, x.s.Phase())
+}
--- a/internal/failover/property_test.go
+++ b/internal/failover/property_test.go
@@ -466,8 +466,8 @@
 		before := len(w.acked)
 		for range 60 {
 			w.deliver(w.nodes[0], Leave{})
-			for _, n := range w.nodes {
-				w.deliver(n, Claim{Reason: "candidate"})
+			for i, n := range w.nodes {
+				w.deliver(n, Claim{Reason: "candidate", Patience: time.Duration(i) * 150 * time.Millisecond})
 				w.write(n)
 			}
 			w.run(w.now + 200*time.Millisecond)
@@ -488,5 +488,5 @@
 		served += len(w.served)
 	})
 	must.Greater(t, 2000, acked)
-	must.Greater(t, 300, served)
+	must.Greater(t, 1000, served)
 }
--- a/internal/failover/reply.go
+++ b/internal/failover/reply.go
@@ -36,7 +36,7 @@
 	m.hard = 0
 	m.answered = now
 	if r.Failure == FailRefused {
-		return s.refused(r)
+		return s.refused(r, m)
 	}
 	if r.Op != OpFence || r.Term == s.term {
 		m.status = r.Status
@@ -72,13 +72,14 @@
 }
 
 // refused deals with a member that would not do what was asked: it is either
-// ahead of our term, which the next status shows, or behind it.
-func (s *State) refused(r Reply) []Action {
-	if r.Op == OpFence && r.Term == s.term {
-		s.members[r.Member].failed = true
-		s.from = "" // somebody else has claimed the group since
-	}
-	if r.Op == OpStatus {
+// ahead of our term, which the next status shows, or behind it. A refused fence
+// means that somebody else has claimed the group since: to raise the term
+// against that claim would only start a duel, so this one ends.
+func (s *State) refused(r Reply, m *member) []Action {
+	if r.Op == OpFence && r.Term == s.term && s.phase == Fencing && !m.fenced {
+		return s.standDown("another claim is under way", "")
+	}
+	if r.Op == OpStatus || r.Op == OpFence {
 		return nil
 	}
 	return []Action{Send{Member: r.Member, Op: OpStatus, Term: s.term}}
@@ -157,7 +158,7 @@
 	if st.Owner == "" || st.Owner == s.self || st.Owner == s.from || st.Released {
 		return ""
 	}
-	if st.HeartbeatAge < 0 || st.HeartbeatAge > s.cfg.Silence {
+	if st.HeartbeatAge < 0 || st.HeartbeatAge > s.cfg.Silence+s.patience {
 		return ""
 	}
 	return st.Owner
--- a/internal/failover/tick.go
+++ b/internal/failover/tick.go
@@ -70,7 +70,7 @@
 		s.avoid = s.primary
 		return append(actions, s.replace(now, "no replica hears the primary")...)
 	}
-	return actions
+	return append(actions, s.drain(now)...)
 }
 
 // noteSilence records members that have stopped answering.
@@ -179,9 +179,22 @@
 	for _, name := range e.Members {
 		s.leaving[name] = true
 	}
+	return s.drain(now)
+}
+
+// drainSpacing is the least time between two attempts to move off a leaving
+// primary, for the case that no replica can follow it.
+const drainSpacing = 30 * time.Second
+
+// drain begins to empty a primary that is to leave.
+func (s *State) drain(now time.Duration) []Action {
 	if s.phase != Serving || !s.leaving[s.primary] || len(s.leaving) == len(s.names) {
 		return nil
 	}
+	if s.lastDrain != 0 && now-s.lastDrain < drainSpacing {
+		return nil
+	}
+	s.lastDrain = now
 	s.drained = false
 	s.enter(now, Draining)
 	return []Action{
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -22,7 +22,7 @@
 	controlTick    = 50 * time.Millisecond
 	probeCandidate = 200 * time.Millisecond // owners of groups that this instance may take over
 	probeNeighbour = time.Second
-	claimStagger   = 300 * time.Millisecond // between the claims of two candidates
+	claimStagger   = 150 * time.Millisecond // between the claims of two candidates
 	claimSpacing   = 100 * time.Millisecond
 	candidates     = 3 // instances that watch over a group
 	moveDelay      = 5 * time.Second
@@ -298,11 +298,12 @@
 			w.missing = now
 		}
 		rank := slices.Index(rankings[name], c.inst.settings.Name)
-		if rank < 0 || now-w.missing < time.Duration(rank)*claimStagger || now < w.nextClaim {
+		patience := time.Duration(rank) * claimStagger
+		if rank < 0 || now-w.missing < patience || now < w.nextClaim {
 			continue
 		}
 		w.nextClaim = now + claimSpacing
-		g.Claim("no living owner is known")
+		g.Claim("no living owner is known", patience)
 	}
 }
 
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -22,15 +22,31 @@
 		if v.moving || !v.serving && !v.claiming {
 			return nil, &refusal{kind: peerpb.Refusal_REFUSAL_NOT_OWNER, detail: "this instance does not own the group", owner: v.owner}
 		}
-		if v.serving {
+		if v.serving && g.leaseLeft() > 0 {
 			return v, nil
 		}
+		if v.serving {
+			if err := g.awaitRenewal(ctx, deadline); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		if err := g.awaitChange(ctx, v, deadline); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// awaitRenewal waits for news while the lease has lapsed: work that could not be
+// acknowledged is not sent.
+func (g *Group) awaitRenewal(ctx context.Context, deadline time.Duration) error {
+	if g.opts.Now() < deadline && ctx.Err() == nil {
+		g.awaitProgress(ctx, g.progress.Load())
+		return nil
+	}
+	return &refusal{kind: peerpb.Refusal_REFUSAL_NO_PRIMARY, detail: "the owner does not reach a majority of the group", retryAfter: retryHint}
+}
+
 func (g *Group) awaitChange(ctx context.Context, v *view, deadline time.Duration) error {
 	timer := time.NewTimer(deadline - g.opts.Now())
 	defer timer.Stop()
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -187,8 +187,11 @@
 // Name returns the name of the group.
 func (g *Group) Name() string { return g.spec.Name }
 
-// Claim asks for the group to be taken over.
-func (g *Group) Claim(reason string) { g.post(failover.Claim{Reason: reason}) }
+// Claim asks for the group to be taken over. Patience is how much longer than
+// the first candidate this one lets the former owner be silent.
+func (g *Group) Claim(reason string, patience time.Duration) {
+	g.post(failover.Claim{Reason: reason, Patience: patience})
+}
 
 // SetLeaving tells which members are to get no new work.
 func (g *Group) SetLeaving(names []string) { g.post(failover.Leave{Members: names}) }
@@ -274,6 +277,24 @@
 	}
 	g.sweepFloors()
 	g.markClaiming()
+	g.emptyLeaving()
+}
+
+// emptyLeaving closes idle connections to members that leave and tells the state
+// machine when a leaving primary has no transaction any more.
+func (g *Group) emptyLeaving() {
+	v := g.view.Load()
+	for name, p := range v.pools {
+		if g.state.Leaving(name) && name != v.primary {
+			p.DropIdle()
+		}
+	}
+	if g.state.Phase() != failover.Draining {
+		return
+	}
+	if p := v.pools[v.primary]; p != nil && p.InUse() == 0 {
+		g.post(failover.Drained{})
+	}
 }
 
 func (g *Group) act(ctx context.Context, action failover.Action) {
@@ -313,8 +334,10 @@
 	}
 	g.leaseEnd.Store(int64(g.state.LeaseEnd()))
 	g.publish(&view{term: a.Term, serving: true, writable: true, primary: a.Primary, pools: pools})
-	for _, p := range pools {
-		go p.Warm(ctx, min(warmConnections, g.spec.Connections))
+	for name, p := range pools {
+		if !g.state.Leaving(name) {
+			go p.Warm(ctx, min(warmConnections, g.spec.Connections))
+		}
 	}
 }
 
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/config"
 	"github.com/stackspindle/stackspindle/internal/instance"
+	"github.com/stackspindle/stackspindle/internal/membership"
 	"github.com/stackspindle/stackspindle/internal/owner"
 	"github.com/stackspindle/stackspindle/internal/resource"
 	"github.com/stackspindle/stackspindle/internal/standin/kvservice"
@@ -20,22 +22,23 @@
 
 // Options shape a fleet.
 type Options struct {
-	Instances   int
-	Lag         time.Duration
-	Database    string                       // name of the database and of its service
-	CallerAddr  func(i int) string           // where instance i serves callers
-	Operator    string                       // where the first instance serves operators
-	Connections int                          // to each member
-	Staleness   time.Duration                // of the service
-	Ack         resource.Acknowledgement     // when a write is acknowledged
-	Log         *logrus.Logger               // nil: no log
-	Adjust      func(*config.Settings)       // changes the settings of every instance
-	Pause       func(i int, _ owner.Step)    // fault hook
-	Services    []resource.Resource          // further services
-	DataCentres func(instance int) string    // nil: three in turn
-	NoDatabase  bool                         // declare nothing
-	SetUp       []string                     // statements on the group before the start
-	Customise   func(*resource.DatabaseSpec) // changes the declared database
+	Instances    int
+	Lag          time.Duration
+	Database     string                       // name of the database and of its service
+	CallerAddr   func(i int) string           // where instance i serves callers
+	Operator     string                       // where the first instance serves operators
+	Connections  int                          // to each member
+	QueueTimeout time.Duration                // of the service
+	Staleness    time.Duration                // of the service
+	Ack          resource.Acknowledgement     // when a write is acknowledged
+	Log          *logrus.Logger               // nil: no log
+	Adjust       func(*config.Settings)       // changes the settings of every instance
+	Pause        func(i int, _ owner.Step)    // fault hook
+	Services     []resource.Resource          // further services
+	DataCentres  func(instance int) string    // nil: three in turn
+	NoDatabase   bool                         // declare nothing
+	SetUp        []string                     // statements on the group before the start
+	Customise    func(*resource.DatabaseSpec) // changes the declared database
 }
 
 // Fleet is a running set of instances before one database group.
@@ -44,6 +47,7 @@
 	Store     *kvservice.Service
 	Instances []*instance.Instance
 	opts      Options
+	seeds     []membership.Instance
 }
 
 // anyPort lets the system choose a free port of loopback.
@@ -96,7 +100,7 @@
 		Service: &resource.ServiceSpec{
 			Databases:    []string{f.opts.Database},
 			Staleness:    resource.Duration(f.opts.Staleness),
-			QueueTimeout: resource.Duration(3 * time.Second),
+			QueueTimeout: resource.Duration(cmp.Or(f.opts.QueueTimeout, defaultQueueTimeout)),
 			Weight:       1,
 		},
 	}
@@ -107,21 +111,23 @@
 
 // declare stores the database and its service.
 func (f *Fleet) declare() {
+	f.Put(f.Database())
+	f.Put(f.Service())
+	for _, s := range f.opts.Services {
+		f.Put(s)
+	}
+}
+
+// Database returns the database that the fleet declares.
+func (f *Fleet) Database() resource.Resource {
 	spec := &resource.DatabaseSpec{
 		Database:        f.opts.Database,
 		User:            f.opts.Database,
-		Connections:     max(f.opts.Connections, 8),
-		WriteReserve:    2,
-		MaxQueue:        1000,
-		Acknowledgement: resource.AckPrimary,
-	}
-	if f.opts.Connections > 0 {
-		spec.Connections = f.opts.Connections
-		spec.WriteReserve = min(2, f.opts.Connections-1)
-	}
-	if f.opts.Ack != "" {
-		spec.Acknowledgement = f.opts.Ack
+		Connections:     cmp.Or(f.opts.Connections, defaultConnections),
+		MaxQueue:        defaultQueue,
+		Acknowledgement: cmp.Or(f.opts.Ack, resource.AckPrimary),
 	}
+	spec.WriteReserve = min(2, spec.Connections-1)
 	for i := range pggroup.Members {
 		m := f.Group.Member(i)
 		spec.Members = append(spec.Members, resource.Member{Name: m.Name, Address: m.Addr(), DataCentre: dataCentre(i)})
@@ -129,17 +135,21 @@
 	if f.opts.Customise != nil {
 		f.opts.Customise(spec)
 	}
-	f.Put(resource.Resource{
+	return resource.Resource{
 		Kind:     resource.KindDatabase,
 		Metadata: resource.Metadata{Name: f.opts.Database, Generation: 1},
 		Database: spec,
-	})
-	f.Put(f.Service())
-	for _, s := range f.opts.Services {
-		f.Put(s)
 	}
 }
 
+// What a fleet declares when Options say nothing else.
+const (
+	defaultConnections = 8
+	defaultQueue       = 1000
+
+	defaultQueueTimeout = 3 * time.Second
+)
+
 // Put stores a resource directly, as an earlier operator would have.
 func (f *Fleet) Put(r resource.Resource) int64 {
 	raw, err := json.Marshal(r)
@@ -183,6 +193,7 @@
 	settings.Caller.Authenticate = false
 	settings.PlatformEndpoint = f.Store.URL()
 	settings.PlatformPrefix = Prefix
+	settings.Seeds = f.seeds
 	if f.opts.Adjust != nil {
 		f.opts.Adjust(settings)
 	}
@@ -252,3 +263,28 @@
 	}
 	f.Group.Close()
 }
+
+// Customise changes the declared database while the fleet runs.
+func (f *Fleet) Customise(change func(*resource.DatabaseSpec)) {
+	f.opts.Customise = change
+	f.Put(f.Database())
+}
+
+// Seeds returns the instances that run now, for the settings of others.
+func (f *Fleet) Seeds() []membership.Instance {
+	var seeds []membership.Instance
+	for _, inst := range f.Instances {
+		if inst != nil {
+			seeds = append(seeds, membership.Instance{Name: inst.Name(), Address: inst.PeerAddr()})
+		}
+	}
+	return seeds
+}
+
+// SetSeeds gives instances started from now on the addresses of others.
+func (f *Fleet) SetSeeds(seeds []membership.Instance) { f.seeds = seeds }
+
+// PinCallerAddresses makes instances started again listen where they did.
+func (f *Fleet) PinCallerAddresses(addrs []string) {
+	f.opts.CallerAddr = func(i int) string { return addrs[i] }
+}
--- a/internal/standin/kvservice/kvservice.go
+++ b/internal/standin/kvservice/kvservice.go
@@ -40,6 +40,7 @@
 	history  []change
 	revision int64
 	changed  chan struct{}
+	epoch    int // watches of an older epoch break
 
 	down    atomic.Bool
 	slow    atomic.Int64
@@ -85,6 +86,7 @@
 func (s *Service) SetDown(down bool) {
 	s.down.Store(down)
 	s.mu.Lock()
+	s.epoch++
 	s.wakeLocked()
 	s.mu.Unlock()
 }
@@ -129,6 +131,7 @@
 		defer s.mu.Unlock()
 		s.data, s.revision = saved, revision
 		s.history = nil
+		s.epoch++
 		s.wakeLocked()
 	}
 }
@@ -293,8 +296,15 @@
 	}
 	flusher, _ := w.(http.Flusher)
 	encoder := json.NewEncoder(w)
-	for !s.down.Load() {
+	s.mu.Lock()
+	epoch := s.epoch
+	s.mu.Unlock()
+	for {
 		s.mu.Lock()
+		if s.epoch != epoch {
+			s.mu.Unlock()
+			return
+		}
 		changed := s.changed
 		events, next := s.eventsLocked(req.CreateRequest.keyRange, start)
 		header := s.header()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -247,6 +247,17 @@
 	p.finish(l.request, l.since)
 }
 
+// DropIdle closes the connections that nobody uses.
+func (p *Pool) DropIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		conn.Kill()
+		delete(p.all, conn)
+	}
+	p.idle = nil
+}
+
 // Warm opens connections ahead of need until n exist, one after another.
 func (p *Pool) Warm(ctx context.Context, n int) {
 	for p.Open() < n {
