--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -65,7 +65,7 @@
 	opts.MaxMessage = maxFuzzMessage
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	server, err := NewServer(opts, stubCatalogue{}, dispatch.New("me", noInstances{}, peer.NewClient(nil)), classifier, noEvents{}, logrus.NewEntry(log))
+	server, err := NewServer(opts, stubCatalogue{}, dispatch.New("me", noInstances{}, peer.NewClient(nil, &peer.Traffic{})), classifier, noEvents{}, logrus.NewEntry(log))
 	must.NoError(f, err)
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		ours, theirs := net.Pipe()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,7 +18,7 @@
 // An announcement ends what is in flight at other instances, and only there,
 // also when the announced owner was in use before it was known as such.
 func TestAnnouncementEndsOtherEpochsOnly(t *testing.T) {
-	d := New("me", placement{"a", "b"}, peer.NewClient(nil))
+	d := New("me", placement{"a", "b"}, peer.NewClient(nil, &peer.Traffic{}))
 	atA, atB := d.epoch("g", "a"), d.epoch("g", "b")
 	d.SetOwner("g", "a", 2)
 	must.NoError(t, atA.Err())
@@ -32,7 +32,7 @@
 }
 
 func TestTargetFollowsWhatWasLearned(t *testing.T) {
-	d := New("me", placement{"a", "b"}, peer.NewClient(nil))
+	d := New("me", placement{"a", "b"}, peer.NewClient(nil, &peer.Traffic{}))
 	must.Eq(t, "a", d.target("g", 1))
 	must.Eq(t, "b", d.target("g", 2))
 	d.learn("g", "a", Result{Done: &peerpb.Done{Refusal: peerpb.Refusal_REFUSAL_NOT_OWNER, Owner: "c"}}, nil)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -47,6 +47,7 @@
 	leaving   atomic.Bool
 	reachable atomic.Bool // the platform's service answered last
 
+	traffic    peer.Traffic // of control calls
 	peers      *peer.Client
 	peerServer *peer.Server
 	callers    *caller.Server
@@ -130,8 +131,8 @@
 	if err != nil {
 		return err
 	}
-	i.peers = peer.NewClient(tls.peerClient)
-	i.peerServer = peer.NewServer(i, tls.peerServer)
+	i.peers = peer.NewClient(tls.peerClient, &i.traffic)
+	i.peerServer = peer.NewServer(i, tls.peerServer, &i.traffic)
 	i.dispatcher = dispatch.New(i.settings.Name, i, i.peers)
 	options := i.settings.Caller
 	options.Instance = i.settings.Name
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -16,9 +16,7 @@
 	primaryReads   *metrics.Counter
 	writes         *metrics.Counter
 	latency        *metrics.Histogram
-	storeCalls     *metrics.Counter
 	peerMessages   *metrics.Counter
-	failoverGap    *metrics.Histogram
 }
 
 func newCounters() *counters {
@@ -30,9 +28,7 @@
 		primaryReads:   set.NewCounter(`stackspindle_statements_total{class="read",role="primary"}`),
 		writes:         set.NewCounter(`stackspindle_statements_total{class="write",role="primary"}`),
 		latency:        set.NewHistogram("stackspindle_statement_seconds"),
-		storeCalls:     set.NewCounter("stackspindle_platform_calls_total"),
 		peerMessages:   set.NewCounter("stackspindle_control_messages_total"),
-		failoverGap:    set.NewHistogram("stackspindle_failover_gap_seconds"),
 	}
 }
 
@@ -57,6 +53,10 @@
 // WriteMetrics writes all metrics in the Prometheus text format.
 func (i *Instance) WriteMetrics(w io.Writer) {
 	i.metrics.set.WritePrometheus(w)
+	sent, received := i.traffic.Bytes()
+	fmt.Fprintf(w, "stackspindle_control_bytes_total{direction=\"sent\"} %d\n", sent)
+	fmt.Fprintf(w, "stackspindle_control_bytes_total{direction=\"received\"} %d\n", received)
+	fmt.Fprintf(w, "stackspindle_platform_calls_total %d\n", i.store.Calls())
 	fmt.Fprintf(w, "stackspindle_callers %d\n", i.callers.Callers())
 	fmt.Fprintf(w, "stackspindle_config_revision %d\n", i.Revision())
 	for name, g := range *i.groups.Load() {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -27,7 +27,8 @@
 
 // Client holds the connections to other instances. It is safe for concurrent use.
 type Client struct {
-	creds credentials.TransportCredentials
+	creds   credentials.TransportCredentials
+	traffic *Traffic
 
 	mu    sync.Mutex
 	addrs map[string]string
@@ -56,11 +57,11 @@
 
 // NewClient returns a client without connections. Without credentials the
 // instances talk in the clear.
-func NewClient(creds credentials.TransportCredentials) *Client {
+func NewClient(creds credentials.TransportCredentials, traffic *Traffic) *Client {
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	return &Client{creds: creds, addrs: make(map[string]string), conns: make(map[string]*remote)}
+	return &Client{creds: creds, traffic: traffic, addrs: make(map[string]string), conns: make(map[string]*remote)}
 }
 
 // SetAddresses replaces the known addresses, by instance name.
@@ -88,6 +89,7 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(c.creds),
+		grpc.WithStatsHandler(c.traffic),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -41,11 +41,12 @@
 }
 
 // NewServer returns a server that is not listening yet.
-func NewServer(backend Backend, creds credentials.TransportCredentials) *Server {
+func NewServer(backend Backend, creds credentials.TransportCredentials, traffic *Traffic) *Server {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.WaitForHandlers(true),
+		grpc.StatsHandler(traffic),
 	}
 	if creds != nil {
 		options = append(options, grpc.Creds(creds))
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -48,6 +49,7 @@
 	Instances []*instance.Instance
 	opts      Options
 	seeds     []membership.Instance
+	closeOnce sync.Once
 }
 
 // anyPort lets the system choose a free port of loopback.
@@ -251,8 +253,10 @@
 	return -1, fmt.Errorf("no owner within %s", limit)
 }
 
-// Close ends everything.
-func (f *Fleet) Close() {
+// Close ends everything. Closing twice does nothing.
+func (f *Fleet) Close() { f.closeOnce.Do(f.close) }
+
+func (f *Fleet) close() {
 	for _, inst := range f.Instances {
 		if inst != nil {
 			inst.Kill()
--- a/internal/standin/pggroup/member.go
+++ b/internal/standin/pggroup/member.go
@@ -38,6 +38,7 @@
 	nextPID   uint32
 
 	running atomic.Bool
+	traffic atomic.Int64 // bytes in and out
 
 	faults faults
 	reset  chan struct{} // closed and replaced when replication must look again
@@ -78,6 +79,9 @@
 	return m.store.position()
 }
 
+// Traffic returns the bytes received and sent.
+func (m *Member) Traffic() int64 { return m.traffic.Load() }
+
 // Role returns the member's role and term.
 func (m *Member) Role() (group.Role, uint64) {
 	m.mu.RLock()
--- a/internal/standin/pggroup/session.go
+++ b/internal/standin/pggroup/session.go
@@ -100,6 +100,7 @@
 
 func (c *gatedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.member.traffic.Add(int64(n))
 	c.hold()
 	return n, err
 }
@@ -112,6 +113,7 @@
 		}
 	}
 	c.hold()
+	c.member.traffic.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
 
