Read routing: count on how long ago the required position was acknowledged

Cause: at 200 ms of lag reads went to the primary although a replica held, or was about to hold, what they needed: the decision compared the replica's whole delay with the longest wait, and positions are known only as of the last heartbeat. Ruled out: polling more often, which costs control traffic without readers. Change: the wait that is expected is the replica's delay less the age of the required position.

--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -185,7 +185,24 @@
 		}
 		snapshot.Members = append(snapshot.Members, member)
 	}
-	return routing.Route(snapshot, routing.Request{Required: required, Waited: now - started, Left: deadline - now})
+	return routing.Route(snapshot, routing.Request{
+		Required: required,
+		Age:      g.age(now, required),
+		Waited:   now - started,
+		Left:     deadline - now,
+	})
+}
+
+// age returns how long ago a position was acknowledged. The fine record is exact
+// and short, the coarse one reaches further back.
+func (g *Group) age(now time.Duration, p group.Position) time.Duration {
+	g.acks.Lock()
+	defer g.acks.Unlock()
+	if age, ok := g.fine.Age(now, p); ok {
+		return age
+	}
+	age, _ := g.coarse.Age(now, p)
+	return age
 }
 
 // pollReplicas asks the replicas that do not hold the position for news.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -53,6 +53,7 @@
 // Request is a read that wants a member.
 type Request struct {
 	Required group.Position // position that the member must hold
+	Age      time.Duration  // since the required position was acknowledged
 	Waited   time.Duration  // time already spent waiting for a replica
 	Left     time.Duration  // until the read's deadline
 }
@@ -66,7 +67,7 @@
 	if m := readyReplica(v, r.Required); m != nil {
 		return Decision{Choice: Use, Member: m.Name, Reason: "replica holds the position"}
 	}
-	delay, catching := nearest(v)
+	delay, catching := nearest(v, r.Age)
 	if catching && r.Waited+delay <= v.MaxWait && delay < r.Left {
 		return Decision{Choice: Wait, Reason: "a replica is about to catch up"}
 	}
@@ -106,8 +107,10 @@
 	return a.InFlight*max(b.Capacity, 1) < b.InFlight*max(a.Capacity, 1)
 }
 
-// nearest returns the delay of the replica that is least behind.
-func nearest(v *View) (time.Duration, bool) {
+// nearest returns after what time the first replica should hold a position of
+// that age. A replica that should hold it by now is only not known to: the next
+// poll will show it.
+func nearest(v *View, age time.Duration) (time.Duration, bool) {
 	var delay time.Duration
 	found := false
 	for i := range v.Members {
@@ -115,8 +118,8 @@
 		if m.Primary || !m.Healthy || m.Leaving {
 			continue
 		}
-		if !found || m.Behind < delay {
-			delay, found = m.Behind, true
+		if left := max(0, m.Behind-age); !found || left < delay {
+			delay, found = left, true
 		}
 	}
 	return delay, found
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -105,6 +105,8 @@
 		{"waited long enough", func(*View) {}, Request{Required: at(10), Waited: 45 * time.Millisecond, Left: time.Second}, Decision{Choice: Use, Member: "p", Fallback: true}},
 		{"far behind", func(v *View) { v.Members[1].Behind = time.Second }, Request{Required: at(10), Left: time.Second}, Decision{Choice: Use, Member: "p", Fallback: true}},
 		{"primary's share used up", func(v *View) { v.Members[1].Behind, v.OnPrim = time.Second, 2 }, Request{Required: at(10), Left: time.Second}, Decision{Choice: Wait}},
+		{"old enough to be there by now", func(v *View) { v.Members[1].Behind = time.Second }, Request{Required: at(10), Age: 2 * time.Second, Left: time.Second}, Decision{Choice: Wait}},
+		{"there in a moment", func(v *View) { v.Members[1].Behind = time.Second }, Request{Required: at(10), Age: 970 * time.Millisecond, Left: time.Second}, Decision{Choice: Wait}},
 		{"lighter replica", func(v *View) { v.Members[1].InFlight = 3 }, Request{Required: at(5), Left: time.Second}, Decision{Choice: Use, Member: "r2"}},
 		{"nobody", func(v *View) { v.Members = nil }, Request{Required: at(5), Left: time.Second}, Decision{Choice: Refuse}},
 	}
--- a/internal/routing/samples.go
+++ b/internal/routing/samples.go
@@ -63,6 +63,18 @@
 	return group.Position{}, false
 }
 
+// Age returns how long ago p was acknowledged. It reports false when p is older
+// than the record.
+func (s *Samples) Age(now time.Duration, p group.Position) (time.Duration, bool) {
+	for i := range s.count {
+		entry := s.ring[(s.start+i)%len(s.ring)]
+		if entry.position.AtLeast(p) {
+			return now - entry.at, i > 0
+		}
+	}
+	return 0, true
+}
+
 // Behind returns how long ago p was the highest acknowledged position.
 func (s *Samples) Behind(now time.Duration, p group.Position) time.Duration {
 	for i := s.count - 1; i >= 0; i-- {
