Failover: leases from heartbeats only, and no avoidance that can lose work

Ruled out: clock drift (violations of hundreds of ms), message doubling. Change: only fences and heartbeats extend the lease; an avoided member is kept unless the others hold its whole log, or, with acknowledgement by replicas, all of them were asked. Of five members two replicas must confirm, so that every fenced majority holds what was acknowledged. A refusal is asked about again at once.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -179,6 +179,9 @@
 	if f.Silence < 2*f.Heartbeat {
 		p.list.Add(p.at(place{"failover", "silence"}), "must be at least twice the heartbeat of %s", f.Heartbeat)
 	}
+	if f.OwnerSilence < 2*f.Heartbeat {
+		p.list.Add(p.at(place{"failover", "owner_silence"}), "must be at least twice the heartbeat of %s", f.Heartbeat)
+	}
 }
 
 func (p *parser) pair(section string, k KeyPair) {
@@ -236,6 +239,7 @@
 		{"platform", "timeout"}:                duration(&s.PlatformTimeout),
 		{"failover", "heartbeat"}:              duration(&s.Failover.Heartbeat),
 		{"failover", "silence"}:                duration(&s.Failover.Silence),
+		{"failover", "owner_silence"}:          duration(&s.Failover.OwnerSilence),
 		{"failover", "lease"}:                  duration(&s.Failover.Lease),
 		{"failover", "drain_bound"}:            duration(&s.Failover.DrainBound),
 		{"failover", "isolation"}:              duration(&s.Failover.Isolation),
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -22,6 +22,7 @@
 type Config struct {
 	Heartbeat      time.Duration // between two heartbeats to a member
 	Silence        time.Duration // without an answer after which a member counts as dead
+	OwnerSilence   time.Duration // without a heartbeat after which an owner counts as gone
 	Lease          time.Duration // right to acknowledge, from the sending of a heartbeat
 	DriftPerMille  int64         // bound on the rate difference of two clocks
 	Collect        time.Duration // longest wait for members beyond the majority
@@ -39,7 +40,8 @@
 func DefaultConfig() Config {
 	return Config{
 		Heartbeat:      200 * time.Millisecond,
-		Silence:        600 * time.Millisecond,
+		Silence:        1200 * time.Millisecond,
+		OwnerSilence:   600 * time.Millisecond,
 		Lease:          700 * time.Millisecond,
 		DriftPerMille:  10,
 		Collect:        300 * time.Millisecond,
--- a/internal/failover/reply.go
+++ b/internal/failover/reply.go
@@ -57,13 +57,15 @@
 	case OpFence:
 		m.fenced = true
 		s.hold(m, r.Sent)
-	case OpHeartbeat, OpFollow, OpPromote:
+	case OpHeartbeat:
 		s.hold(m, r.Sent)
 	}
 	return actions
 }
 
-// hold notes that the member has answered in our term a request sent then.
+// hold notes that the member has answered in our term a request sent then. Only
+// requests that the member takes for a sign of its owner count: those whose age
+// it will tell a successor. To follow or to promote is none.
 func (s *State) hold(m *member, sent time.Duration) {
 	if !m.held || sent > m.inTerm {
 		m.inTerm = sent
@@ -158,7 +160,7 @@
 	if st.Owner == "" || st.Owner == s.self || st.Owner == s.from || st.Released {
 		return ""
 	}
-	if st.HeartbeatAge < 0 || st.HeartbeatAge > s.cfg.Silence+s.patience {
+	if st.HeartbeatAge < 0 || st.HeartbeatAge > s.cfg.OwnerSilence+s.patience {
 		return ""
 	}
 	return st.Owner
@@ -221,27 +223,39 @@
 }
 
 // successor picks the fenced member with the highest position. Among equals it
-// keeps the former primary, so that a change of owner moves nothing. A member
-// to be avoided is taken only when it alone holds acknowledged work.
+// keeps the former primary, so that a change of owner moves nothing.
 func (s *State) successor() string {
-	best := ""
+	best, others := "", 0
 	for _, name := range s.names {
 		m := s.members[name]
 		if !m.fenced || name == s.avoid {
 			continue
 		}
+		others++
 		if best == "" || s.better(name, best) {
 			best = name
 		}
 	}
 	avoided := s.members[s.avoid]
-	if avoided == nil || !avoided.fenced {
+	if avoided == nil || !avoided.fenced || s.mayAvoid(avoided, best, others) {
 		return best
 	}
-	if best == "" || s.members[best].status.Position.Less(s.acked) && s.members[best].status.Position.Less(avoided.status.Position) {
-		return s.avoid
-	}
-	return best
+	return s.avoid
+}
+
+// mayAvoid reports whether the member to be avoided can be passed over without
+// losing acknowledged work. What lies beyond the best of the others may have been
+// acknowledged, unless that takes a replica and all of them have been asked. The
+// highest acknowledged position that this state knows is no help: it may be a
+// moment old.
+func (s *State) mayAvoid(avoided *member, best string, others int) bool {
+	if best == "" {
+		return false
+	}
+	if s.members[best].status.Position.AtLeast(avoided.status.Position) {
+		return true
+	}
+	return s.cfg.ReplicaAck && others == len(s.names)-1
 }
 
 func (s *State) better(name, than string) bool {
--- a/internal/failover/tick.go
+++ b/internal/failover/tick.go
@@ -9,7 +9,7 @@
 // tick sends heartbeats and looks for what has been silent for too long.
 func (s *State) tick(now time.Duration, e Tick) []Action {
 	s.acked = group.Max(s.acked, e.Acked)
-	paused := s.lastTick != 0 && now-s.lastTick > s.cfg.Silence/2
+	paused := s.lastTick != 0 && now-s.lastTick > s.cfg.OwnerSilence/2
 	s.lastTick = now
 	if paused {
 		s.forgive(now)
@@ -63,6 +63,10 @@
 		actions = s.broadcast(OpHeartbeat)
 	}
 	actions = append(actions, s.noteSilence(now)...)
+	if s.members[s.primary].hard > 0 {
+		// A refusal is asked about again at once, not at the next heartbeat.
+		actions = append(actions, Send{Member: s.primary, Op: OpStatus, Term: s.term})
+	}
 	if reason := s.primaryDead(now); reason != "" {
 		return append(actions, s.replace(now, reason)...)
 	}
@@ -211,7 +215,6 @@
 		return nil
 	}
 	s.avoid = s.primary
-	s.acked = group.Max(s.acked, s.members[s.primary].status.Position)
 	return s.replace(now, "the primary leaves")
 }
 
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -316,7 +316,7 @@
 	if name == "" || name == c.inst.settings.Name {
 		return false
 	}
-	if silentSince, ok := c.watches[group].idle[name]; ok && now-silentSince > c.inst.settings.Failover.Silence {
+	if silentSince, ok := c.watches[group].idle[name]; ok && now-silentSince > c.inst.settings.Failover.OwnerSilence {
 		return false
 	}
 	return !c.members.Down(now, name)
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -248,14 +248,25 @@
 	return nil
 }
 
+// confirmations counts the replicas that hold a position. With half the members,
+// rounded down, and the primary, every majority that a successor fences holds it
+// too: one replica of three members, two of five.
+func confirmations(p *progress, v *view, position group.Position) int {
+	n := 0
+	for _, m := range p.members {
+		if m.name != v.primary && m.healthy && m.position.AtLeast(position) {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Group) awaitReplica(ctx context.Context, v *view, p group.Position) error {
 	deadline := g.opts.Now() + ackWait
 	for {
 		snapshot := g.progress.Load()
-		for _, m := range snapshot.members {
-			if m.name != v.primary && m.healthy && m.position.AtLeast(p) {
-				return nil
-			}
+		if confirmations(snapshot, v, p) >= len(g.spec.Members)/2 {
+			return nil
 		}
 		if !g.current(v) || g.opts.Now() > deadline || ctx.Err() != nil {
 			return unknown("no replica confirmed the write")
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -226,6 +226,7 @@
 		return result, &refusal{kind: peerpb.Refusal_REFUSAL_UPSTREAM, detail: err.Error()}
 	}
 	if err != nil {
+		s.group.workers[s.member].poll(s.view.term) // is the member still there?
 		return result, unknown(err.Error())
 	}
 	return result, nil
