Failover: the last heartbeat outlives fences; answers may overtake one another

Ruled out: the simulation's clocks and its doubled messages alone (the same happened with one lost answer). Change: statuses are taken in the order they were asked for; members keep who sent the last heartbeat apart from who fenced last, and only heartbeats count into a lease, so an owner sends a round at once when it begins to serve.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -194,6 +194,8 @@
 // member is what is known of one member.
 type member struct {
 	status   group.Status
+	asked    time.Duration // when the request that gave status was sent
+	told     bool          // whom to follow, since status
 	answered time.Duration // when it last answered anything
 	inTerm   time.Duration // when the last request that it answered in our term was sent
 	held     bool          // inTerm is set for the current term
--- a/internal/failover/reply.go
+++ b/internal/failover/reply.go
@@ -38,9 +38,7 @@
 	if r.Failure == FailRefused {
 		return s.refused(r, m)
 	}
-	if r.Op != OpFence || r.Term == s.term {
-		m.status = r.Status
-	}
+	s.takeStatus(r, m)
 	s.noteLink(now, m)
 	if s.phase >= Fencing && r.Status.Term > s.term {
 		return s.superseded(r)
@@ -56,16 +54,26 @@
 	switch r.Op {
 	case OpFence:
 		m.fenced = true
-		s.hold(m, r.Sent)
 	case OpHeartbeat:
 		s.hold(m, r.Sent)
 	}
 	return actions
 }
 
-// hold notes that the member has answered in our term a request sent then. Only
-// requests that the member takes for a sign of its owner count: those whose age
-// it will tell a successor. To follow or to promote is none.
+// takeStatus keeps the newest status. Answers can overtake one another: an older
+// one must not hide the position that a fence has found.
+func (s *State) takeStatus(r Reply, m *member) {
+	if r.Op == OpFence && r.Term != s.term || r.Sent < m.asked || r.Status.Term < m.status.Term {
+		return
+	}
+	m.status = r.Status
+	m.asked = r.Sent
+	m.told = false
+}
+
+// hold notes that the member has answered in our term a heartbeat sent then. Only
+// heartbeats count, since the age of the last one is what the member will tell a
+// successor, whatever fences lie between.
 func (s *State) hold(m *member, sent time.Duration) {
 	if !m.held || sent > m.inTerm {
 		m.inTerm = sent
@@ -155,12 +163,12 @@
 	return ""
 }
 
-// liveOwner returns another instance whose heartbeats reach the member.
+// liveOwner returns another instance that the member has heard of just now.
 func (s *State) liveOwner(st group.Status) string {
-	if st.Owner == "" || st.Owner == s.self || st.Owner == s.from || st.Released {
+	if st.Owner == "" || st.Owner == s.self || st.Owner == s.from || st.Released && st.Owner == st.Holder {
 		return ""
 	}
-	if st.HeartbeatAge < 0 || st.HeartbeatAge > s.cfg.OwnerSilence+s.patience {
+	if st.OwnerAge < 0 || st.OwnerAge > s.cfg.OwnerSilence+s.patience {
 		return ""
 	}
 	return st.Owner
@@ -190,13 +198,13 @@
 // majority that granted one shares a member with the fenced majority, and that
 // member's heartbeat age, taken when it was fenced, bounds what is left. The
 // time since the fence was answered is not counted, which is on the safe side.
-// An earlier result stays in force, since a second fence of ours hides the
-// owner that the first one found.
+// Heartbeats are sent only by owners that have waited likewise, so the last one
+// stands for all before it; fences, whose answers may be lost, hide none.
 func (s *State) leasesEnd(now time.Duration) time.Duration {
 	var left time.Duration
 	for _, m := range s.members {
-		owner := m.status.Owner
-		if !m.fenced || owner == "" || owner == s.self || owner == s.from || m.status.Released {
+		holder := m.status.Holder
+		if !m.fenced || holder == "" || holder == s.self || holder == s.from || m.status.Released {
 			continue
 		}
 		if m.status.HeartbeatAge >= 0 {
@@ -292,6 +300,7 @@
 		Serve{Term: s.term, Primary: s.primary, Base: r.Status.Position, History: r.Status.History, Moved: moved, Claimed: claimed},
 		Record{Kind: "serving", Member: s.primary, Text: fmt.Sprintf("term %d from %s", s.term, r.Status.Position)},
 	}
+	actions = append(actions, s.broadcast(OpHeartbeat)...)
 	return append(actions, s.repair()...)
 }
 
@@ -300,7 +309,7 @@
 	var actions []Action
 	for _, name := range s.names {
 		m := s.members[name]
-		if name == s.primary || m.answered == 0 {
+		if name == s.primary || m.answered == 0 || m.told {
 			continue
 		}
 		if m.status.Term == s.term && m.status.Role == group.RoleReplica {
@@ -309,7 +318,7 @@
 		if m.status.Term > s.term || m.status.Term == 0 {
 			continue
 		}
-		m.status.Term, m.status.Role = s.term, group.RoleReplica // until it answers otherwise
+		m.told = true
 		actions = append(actions, Send{Member: name, Op: OpFollow, Term: s.term, Leader: s.primary})
 	}
 	return actions
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -60,9 +60,11 @@
 	Term         uint64        // highest term the member has promised to
 	Role         Role          // its role in that term
 	Position     Position      // last entry in its log
-	Owner        string        // instance that holds the term
-	HeartbeatAge time.Duration // since the last heartbeat of that owner, on the member's clock
-	Released     bool          // the owner gave the term up
+	Owner        string        // instance that fenced or holds the term
+	OwnerAge     time.Duration // since its last fence or heartbeat, on the member's clock; negative: never
+	Holder       string        // instance whose heartbeat came last, which may hold a lease
+	HeartbeatAge time.Duration // since that heartbeat, on the member's clock; negative: never
+	Released     bool          // the holder gave its lease up
 	Linked       bool          // a replica that hears its primary
 	Acknowledged Position      // highest acknowledged position that an owner told
 	History      History       // terms in the log; in the answer to a promotion only
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -139,18 +139,18 @@
 }
 
 // statusFields is the number of fields of a status line.
-const statusFields = 10
+const statusFields = 12
 
-// parseStatus reads "term role logterm logindex owner age_us released linked
-// ackterm ackindex", and after a promotion "term:index,..." for the history of
-// the log. An owner of "-" is none.
+// parseStatus reads "term role logterm logindex owner age_us holder age_us
+// released linked ackterm ackindex", and after a promotion "term:index,..." for
+// the history of the log. An instance of "-" is none.
 func parseStatus(line string) (group.Status, error) {
 	f := strings.Fields(line)
 	if len(f) != statusFields && len(f) != statusFields+1 {
 		return group.Status{}, fmt.Errorf("status %q: %w", line, ErrProtocol)
 	}
 	var numbers [statusFields]int64
-	for _, i := range []int{0, 2, 3, 5, 8, 9} {
+	for _, i := range []int{0, 2, 3, 5, 7, 10, 11} {
 		n, err := strconv.ParseInt(f[i], 10, 64)
 		if err != nil {
 			return group.Status{}, fmt.Errorf("status %q: %w", line, ErrProtocol)
@@ -161,17 +161,13 @@
 		Term:         uint64(numbers[0]),
 		Role:         group.Role(f[1]),
 		Position:     group.Position{Term: uint64(numbers[2]), Index: uint64(numbers[3])},
-		Owner:        f[4],
-		HeartbeatAge: time.Duration(numbers[5]) * time.Microsecond,
-		Released:     f[6] == "true",
-		Linked:       f[7] == "true",
-		Acknowledged: group.Position{Term: uint64(numbers[8]), Index: uint64(numbers[9])},
-	}
-	if st.Owner == "-" {
-		st.Owner = ""
-	}
-	if numbers[5] < 0 {
-		st.HeartbeatAge = -1
+		Owner:        instanceField(f[4]),
+		OwnerAge:     ageField(numbers[5]),
+		Holder:       instanceField(f[6]),
+		HeartbeatAge: ageField(numbers[7]),
+		Released:     f[8] == "true",
+		Linked:       f[9] == "true",
+		Acknowledged: group.Position{Term: uint64(numbers[10]), Index: uint64(numbers[11])},
 	}
 	if len(f) > statusFields {
 		return withHistory(st, f[statusFields])
@@ -179,6 +175,21 @@
 	return st, nil
 }
 
+func instanceField(text string) string {
+	if text == "-" {
+		return ""
+	}
+	return text
+}
+
+// ageField reads an age in microseconds; a negative one stands for never.
+func ageField(us int64) time.Duration {
+	if us < 0 {
+		return -1
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
 func withHistory(st group.Status, text string) (group.Status, error) {
 	for _, item := range strings.Split(text, ",") {
 		var start group.TermStart
