Control traffic: fewer and smaller probes, heartbeats every 250 ms

Cause: the slopes put control at 5.5 KB/s an instance at the size to design for, over the budget of 4 KB/s: 2,326 B/s of heartbeats a group, 553 B/s of neighbours' probes an instance and 2,114 B/s of candidates' probes a group. Ruled out: probing less often by the first candidate, which an owner's death would wait for. Change: only the first candidate probes every 200 ms, others each second; the address is told every 10 s and not with each probe; heartbeats every 250 ms.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -39,7 +39,7 @@
 // DefaultConfig returns the settings used when nothing else is configured.
 func DefaultConfig() Config {
 	return Config{
-		Heartbeat:      200 * time.Millisecond,
+		Heartbeat:      250 * time.Millisecond,
 		Silence:        1200 * time.Millisecond,
 		OwnerSilence:   600 * time.Millisecond,
 		Lease:          700 * time.Millisecond,
--- a/internal/instance/backend.go
+++ b/internal/instance/backend.go
@@ -40,6 +40,7 @@
 	i.metrics.peerMessages.Inc()
 	i.hlc.Observe(timeline.Stamp(req.Clock))
 	i.post(func(c *control) {
+		c.members.Heard(i.now(), req.From, req.Leaving)
 		c.members.Introduce(i.now(), membership.Instance{
 			Name:       req.From,
 			Address:    req.Address,
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -45,8 +45,9 @@
 
 // probe is the probing of one instance.
 type probe struct {
-	running bool
-	next    time.Duration
+	running    bool
+	next       time.Duration
+	introduced time.Duration // when this instance last told who it is
 }
 
 // watch is what a candidate knows of one group's owner.
@@ -357,13 +358,18 @@
 	}
 	rankings := c.inst.fleet.Load().rankings
 	for group := range c.groups {
-		if name, _ := c.inst.dispatcher.Owner(group); name != "" && name != c.inst.settings.Name {
-			every[name] = probeCandidate
+		rank := slices.Index(rankings[group], c.inst.settings.Name)
+		interval := probeCandidate
+		if rank > 1 {
+			interval = probeNeighbour // the first candidate is the quick one
 		}
-		ranking := rankings[group]
-		if rank := slices.Index(ranking, c.inst.settings.Name); rank > 0 {
-			for _, name := range ranking[:min(rank, candidates)] {
-				every[name] = probeCandidate
+		watched := rankings[group][:max(0, min(rank, candidates))]
+		if name, _ := c.inst.dispatcher.Owner(group); name != "" {
+			watched = append(slices.Clone(watched), name)
+		}
+		for _, name := range watched {
+			if known, ok := every[name]; name != c.inst.settings.Name && (!ok || interval < known) {
+				every[name] = interval
 			}
 		}
 	}
@@ -377,18 +383,22 @@
 			continue
 		}
 		p.running, p.next = true, now+interval
-		c.sendProbe(name)
+		introduce := p.introduced == 0 || now-p.introduced > introduceEvery
+		if introduce {
+			p.introduced = now
+		}
+		c.sendProbe(name, introduce)
 	}
 }
 
-func (c *control) sendProbe(name string) {
+// introduceEvery is how often a probe carries the address of this instance.
+const introduceEvery = 10 * time.Second
+
+func (c *control) sendProbe(name string, introduce bool) {
 	i := c.inst
-	req := &peerpb.ProbeRequest{
-		From:       i.settings.Name,
-		Clock:      uint64(i.hlc.Now()),
-		Leaving:    i.leaving.Load(),
-		Address:    i.advertised(),
-		DataCentre: i.settings.DataCentre,
+	req := &peerpb.ProbeRequest{From: i.settings.Name, Clock: uint64(i.hlc.Now()), Leaving: i.leaving.Load()}
+	if introduce {
+		req.Address, req.DataCentre = i.advertised(), i.settings.DataCentre
 	}
 	i.spawn(func() {
 		reply, refused, err := i.callProbe(name, req)
