Instances as separate processes: a test with frozen, killed and stopped ones

Change: 'stackspindle standin' runs the stand-ins alone, so that instances can be tried with serve; a test builds the binary, runs four processes, freezes and thaws the owner, kills another, and stops one as planned, all under load.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -39,6 +39,7 @@
 		},
 		Commands: append([]*cli.Command{
 			demoCommand(),
+			standinCommand(),
 			serveCommand(),
 			checkCommand(),
 			versionCommand(),
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -141,13 +141,17 @@
 
 func (l *ledger) acked() int64 { return l.ackCount.Load() }
 
+// nextWriter gives each writer of the test binary rows of its own.
+var nextWriter atomic.Int64
+
 func startWriters(addr string, n int) *ledger {
 	l := &ledger{outcomes: make(map[int]string)}
-	for w := range n {
+	for range n {
 		l.wait.Add(1)
+		first := 100_000_000 + int(nextWriter.Add(1))*1_000_000
 		go func() {
 			defer l.wait.Done()
-			l.write(addr, w*100_000)
+			l.write(addr, first)
 		}()
 	}
 	return l
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -41,6 +41,8 @@
 	newer    map[string]bool  // instances whose configuration is being fetched
 	fetched  map[string]int64 // revision in force here when it was last fetched
 	oldNoted bool
+
+	nextPlacement time.Duration // before which no placement is computed
 }
 
 // probe is the probing of one instance.
@@ -172,7 +174,7 @@
 	cat := c.inst.catalogue.Load()
 	old := c.inst.fleet.Load()
 	known := c.members.Known()
-	if !changed && slices.Equal(live, old.live) && slices.Equal(known, old.known) {
+	if !changed && (now < c.nextPlacement || slices.Equal(live, old.live) && slices.Equal(known, old.known)) {
 		return
 	}
 	placed := make([]ownership.Group, 0, len(cat.databases))
@@ -186,8 +188,14 @@
 	c.inst.peers.SetAddresses(addrs)
 	limit := ownership.Limit(len(placed), len(live))
 	c.inst.fleet.Store(&fleet{live: live, known: known, rankings: ownership.Assign(placed, live, limit)})
+	after := c.inst.now()
+	c.nextPlacement = after + (after-now)*placementSpacing
 }
 
+// placementSpacing bounds the share of a core that placement takes while the
+// picture of the fleet keeps changing, as when a data centre is lost: 1 in 50.
+const placementSpacing = 50
+
 // reconcileGroups runs the groups that this instance may own and stops others.
 func (c *control) reconcileGroups() {
 	rankings := c.inst.fleet.Load().rankings
--- a/internal/owner/journal.go
+++ b/internal/owner/journal.go
@@ -141,15 +141,7 @@
 		return &peerpb.RunReply{Wire: wire, Done: done}, nil
 	}
 	// What the first run wrote must be visible to this session too.
-	position, err := s.position(upstream.Result{})
-	if err != nil {
-		return nil, err
-	}
-	if err := s.group.acknowledge(ctx, s.view, s.header.Session, position); err != nil {
-		return nil, err
-	}
-	done.Position = &peerpb.Position{Term: position.Term, Index: position.Index}
-	if err := s.admitAnswer(ctx, done); err != nil {
+	if err := s.admitCommit(ctx, done, upstream.Result{}); err != nil {
 		return nil, err
 	}
 	s.Close()
@@ -274,20 +266,8 @@
 		return nil, unknown(err.Error())
 	}
 	s.group.opts.Pause(StepAnswered)
-	position, err := s.position(upstream.Result{})
-	if err != nil {
-		return nil, err
-	}
-	if err := s.group.acknowledge(ctx, s.view, s.header.Session, position); err != nil {
-		return nil, err
-	}
-	done := &peerpb.Done{
-		TxStatus: 'I',
-		Member:   s.member,
-		Reason:   s.reason,
-		Position: &peerpb.Position{Term: position.Term, Index: position.Index},
-	}
-	if err := s.admitAnswer(ctx, done); err != nil {
+	done := &peerpb.Done{TxStatus: 'I', Member: s.member, Reason: s.reason}
+	if err := s.admitCommit(ctx, done, upstream.Result{}); err != nil {
 		return nil, err
 	}
 	s.Close()
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -251,23 +251,33 @@
 	if status != 'I' {
 		return done, s.admitAnswer(ctx, done)
 	}
+	var err error
 	if s.wrote && s.member == s.view.primary && (req.EndsTransaction || !result.Failed) {
-		position, err := s.position(result)
-		if err != nil {
-			return nil, err
-		}
-		if err := s.group.acknowledge(ctx, s.view, s.header.Session, position); err != nil {
-			return nil, err
-		}
-		done.Position = &peerpb.Position{Term: position.Term, Index: position.Index}
+		err = s.admitCommit(ctx, done, result)
+	} else {
+		err = s.admitAnswer(ctx, done)
 	}
-	if err := s.admitAnswer(ctx, done); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	s.Close()
 	return done, nil
 }
 
+// admitCommit notes what the session must see from now on and checks that the
+// commit may be acknowledged.
+func (s *Stream) admitCommit(ctx context.Context, done *peerpb.Done, result upstream.Result) error {
+	position, err := s.position(result)
+	if err != nil {
+		return err
+	}
+	if err := s.group.acknowledge(ctx, s.view, s.header.Session, position); err != nil {
+		return err
+	}
+	done.Position = &peerpb.Position{Term: position.Term, Index: position.Index}
+	return s.admitAnswer(ctx, done)
+}
+
 // position returns the log position that holds the transaction.
 func (s *Stream) position(result upstream.Result) (group.Position, error) {
 	if !result.Position.IsZero() {
--- a/internal/standin/pggroup/member.go
+++ b/internal/standin/pggroup/member.go
@@ -92,6 +92,13 @@
 	return m.role, m.term
 }
 
+// Owner returns the instance that the member last heard a heartbeat of.
+func (m *Member) Owner() string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.holder
+}
+
 // Connections returns how many sessions are open.
 func (m *Member) Connections() int {
 	m.mu.RLock()
