Time line: claims that find an owner are not noted; announcements end idle watches

Cause: after a failover the other candidates went on claiming for half a second, each time finding the owner, and each claim filled the time line. Change: a claim is noted when it fences; an announcement clears what a candidate had noted about the announcer's idleness.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -223,6 +223,7 @@
 	from      string // former owner whose lease need not be waited for
 	fromTerm  uint64
 	patience  time.Duration
+	reason    string // of the current claim
 	acked     group.Position
 	started   time.Duration // of the current phase
 	until     time.Duration // when the leases of all former owners have lapsed
@@ -316,11 +317,11 @@
 	s.acked = group.Max(s.acked, e.Acked)
 	s.claimed = true
 	s.enter(now, Observing)
-	actions := []Action{Record{Kind: "claim", Text: e.Reason}}
+	s.reason = e.Reason
 	for _, m := range s.members {
 		m.fenced, m.failed, m.held = false, false, false
 	}
-	return append(actions, s.broadcast(OpStatus)...)
+	return s.broadcast(OpStatus)
 }
 
 func (s *State) enter(now time.Duration, p Phase) {
@@ -359,13 +360,18 @@
 
 // standDown forgets the ownership.
 func (s *State) standDown(reason, owner string) []Action {
+	noteworthy := s.phase > Observing // a claim that finds an owner changes nothing
 	s.phase = Standby
 	s.primary, s.suspect, s.avoid = "", "", ""
 	s.claimed = false
 	for _, m := range s.members {
 		m.held = false
 	}
-	return []Action{Resigned{Reason: reason, Owner: owner}, Record{Kind: "released", Text: reason}}
+	actions := []Action{Resigned{Reason: reason, Owner: owner}}
+	if noteworthy {
+		actions = append(actions, Record{Kind: "released", Text: reason})
+	}
+	return actions
 }
 
 // Leaving reports whether the member is to get no new work.
--- a/internal/failover/reply.go
+++ b/internal/failover/reply.go
@@ -151,7 +151,7 @@
 	if count < s.majority() || count < len(s.names) && !waited {
 		return nil
 	}
-	return s.fence(now)
+	return append([]Action{Record{Kind: "claim", Text: s.reason}}, s.fence(now)...)
 }
 
 func (s *State) nameOf(m *member) string {
--- a/internal/instance/backend.go
+++ b/internal/instance/backend.go
@@ -109,7 +109,14 @@
 	for _, st := range req.Groups {
 		i.dispatcher.SetOwner(st.Group, req.From, st.Term)
 	}
-	i.post(func(c *control) { c.members.Heard(i.now(), req.From, req.Leaving) })
+	i.post(func(c *control) {
+		c.members.Heard(i.now(), req.From, req.Leaving)
+		for _, st := range req.Groups {
+			if w := c.watches[st.Group]; w != nil {
+				delete(w.idle, req.From)
+			}
+		}
+	})
 	return &peerpb.AnnounceReply{Clock: uint64(i.hlc.Now())}
 }
 
