Callers: read buffers are lent while a message is in flight

Ruled out: a smaller buffer in pgproto3, which it does not offer. Change: an idle connection waits for one byte without a codec; codecs are pooled, and their reader hands out one message at a time, so that nothing of the next is left behind.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -21,8 +21,8 @@
 type conn struct {
 	server     *Server
 	net        net.Conn
-	reader     *countingReader
-	backend    *pgproto3.Backend
+	codec      *codec            // nil while the connection is idle
+	backend    *pgproto3.Backend // that of codec
 	pid        uint32
 	secret     [4]byte
 	registered bool
@@ -41,18 +41,9 @@
 	mu     sync.Mutex // guards tx against cancel
 	tx     *dispatch.Tx
 	atRest atomic.Bool // waits between transactions, with nothing received
-}
-
-// countingReader tells whether part of a message has been received.
-type countingReader struct {
-	net.Conn
-	received bool
-}
 
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.Conn.Read(p)
-	r.received = r.received || n > 0
-	return n, err
+	first    byte // that ended the rest
+	hasFirst bool
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -63,11 +54,13 @@
 	return c
 }
 
+// setNet changes the connection under the codec, as TLS does. What was received
+// before, in the clear, is dropped.
 func (c *conn) setNet(nc net.Conn) {
 	c.net = nc
-	c.reader = &countingReader{Conn: nc}
-	c.backend = pgproto3.NewBackend(c.reader, nc)
-	c.backend.SetMaxBodyLen(c.server.opts.MaxMessage)
+	c.codec = nil
+	c.borrow()
+	c.codec.in.untyped = true
 }
 
 // refuseStart answers a caller for whom there is no room.
@@ -121,20 +114,15 @@
 // receive waits for the next message. Between transactions a planned stop ends
 // the wait; within one, idling for too long does.
 func (c *conn) receive() (pgproto3.FrontendMessage, error) {
-	idle := c.status == 'I' && c.tx == nil && c.batch.empty()
-	c.reader.received = false
-	var deadline time.Time
-	if !idle {
-		deadline = time.Now().Add(c.server.opts.IdleTransaction)
-	}
-	if err := c.net.SetReadDeadline(deadline); err != nil {
-		return nil, err
+	if c.status == 'I' && c.tx == nil && c.batch.empty() && c.codec.in.drained() {
+		if err := c.rest(); err != nil {
+			return nil, err
+		}
 	}
-	c.atRest.Store(idle)
-	defer c.atRest.Store(false)
+	deadline := time.Now().Add(c.server.opts.IdleTransaction)
 	for {
-		if idle && c.server.stopping.Load() && !c.reader.received {
-			return nil, errStopping
+		if err := c.net.SetReadDeadline(deadline); err != nil {
+			return nil, err
 		}
 		msg, err := c.backend.Receive()
 		if err == nil {
@@ -143,11 +131,37 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if !idle {
+		if time.Now().After(deadline) {
 			return nil, &failure{code: codeIdleInTx, message: "the transaction was idle for too long and is rolled back", fatal: true}
 		}
-		if err := c.net.SetReadDeadline(time.Now().Add(c.server.opts.IdleTransaction)); err != nil {
-			return nil, err
+		// A planned stop meant to wake a connection that was no longer at rest.
+	}
+}
+
+// rest waits, without buffers, for the first byte of the next message.
+func (c *conn) rest() error {
+	c.lend()
+	defer c.borrow()
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	c.atRest.Store(true)
+	defer c.atRest.Store(false)
+	if c.server.stopping.Load() {
+		return errStopping
+	}
+	var first [1]byte
+	for {
+		n, err := c.net.Read(first[:])
+		if n == 1 {
+			c.first, c.hasFirst = first[0], true
+			return nil
+		}
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.server.stopping.Load():
+			return errStopping
+		case err != nil:
+			return err
 		}
 	}
 }
--- a/internal/caller/start.go
+++ b/internal/caller/start.go
@@ -45,6 +45,7 @@
 		}
 		switch m := msg.(type) {
 		case *pgproto3.StartupMessage:
+			c.codec.in.untyped = false
 			return m, nil
 		case *pgproto3.CancelRequest:
 			c.server.forwardCancel(m)
