--- a/internal/bench/faults_test.go
+++ b/internal/bench/faults_test.go
@@ -30,6 +30,7 @@
 	faultWriters  = 20
 	faultWrites   = 60 // of each writer
 	faultInterval = 700 * time.Millisecond
+	faultPace     = 600 * time.Millisecond // mean time between two writes of a writer
 )
 
 func measureFaultedWrites(b *testing.B) {
@@ -55,6 +56,7 @@
 		go func() {
 			defer wait.Done()
 			for i := range faultWrites {
+				time.Sleep(time.Duration(rand.Int64N(int64(2 * faultPace))))
 				tries, old, ok := increment(addrs, w, i)
 				repeats.Add(int64(tries - 1))
 				if !ok {
