--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -243,6 +243,7 @@
 		MaxWait:  c.inst.settings.MaxWait,
 		Fallback: c.inst.settings.Fallback,
 		Floors:   owner.DefaultFloors,
+		Gap:      func(d time.Duration) { c.inst.metrics.failoverGap.Update(d.Seconds()) },
 		Record: func(kind, member string, term uint64, text string) {
 			c.inst.record(timeline.Event{Kind: kind, Group: name, Member: member, Term: term, Text: text})
 		},
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -16,6 +16,7 @@
 	primaryReads   *metrics.Counter
 	writes         *metrics.Counter
 	latency        *metrics.Histogram
+	failoverGap    *metrics.Histogram // of failovers by the same owner
 	peerMessages   *metrics.Counter
 }
 
@@ -28,6 +29,7 @@
 		primaryReads:   set.NewCounter(`stackspindle_statements_total{class="read",role="primary"}`),
 		writes:         set.NewCounter(`stackspindle_statements_total{class="write",role="primary"}`),
 		latency:        set.NewHistogram("stackspindle_statement_seconds"),
+		failoverGap:    set.NewHistogram("stackspindle_failover_gap_seconds"),
 		peerMessages:   set.NewCounter("stackspindle_control_messages_total"),
 	}
 }
--- a/internal/instance/resources.go
+++ b/internal/instance/resources.go
@@ -187,7 +187,7 @@
 
 // Progress implements operator.Backend: it asks every living instance for the
 // revision in force.
-func (i *Instance) Progress(ctx context.Context, kind resource.Kind, name string) (*operator.Progress, error) {
+func (i *Instance) Progress(_ context.Context, kind resource.Kind, name string) (*operator.Progress, error) {
 	r, err := i.Get(kind, name)
 	if err != nil {
 		return nil, err
@@ -197,7 +197,7 @@
 		return nil, err
 	}
 	p := &operator.Progress{Resource: r}
-	revisions := i.revisions(ctx)
+	revisions := i.revisions()
 	for instance, revision := range revisions {
 		if revision < wanted {
 			p.Lagging = append(p.Lagging, instance)
@@ -224,7 +224,7 @@
 
 // revisions asks all living instances which revision is in force. One that does
 // not answer counts as lagging.
-func (i *Instance) revisions(context.Context) map[string]int64 {
+func (i *Instance) revisions() map[string]int64 {
 	revisions := map[string]int64{i.settings.Name: i.Revision()}
 	var mu sync.Mutex
 	i.eachLive(func(name string) {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -55,7 +55,8 @@
 	Failover failover.Config
 	Now      func() time.Duration // monotonic
 	Record   func(kind, member string, term uint64, text string)
-	Pause    func(Step) // fault hook of the tests, nil: none
+	Gap      func(time.Duration) // told how long the group was without a primary here
+	Pause    func(Step)          // fault hook of the tests, nil: none
 	MaxWait  time.Duration
 	Fallback int // strict reads that may run on the primary at once, 0: half of Connections
 	Floors   int // bound on session floors
@@ -104,6 +105,7 @@
 	view     atomic.Pointer[view]
 	progress atomic.Pointer[progress]
 	leaseEnd atomic.Int64
+	shed     atomic.Int64 // requests refused for want of room
 	active   atomic.Int64 // transactions that hold or wait for a connection
 	fallback atomic.Int64 // strict reads on the primary
 
@@ -120,9 +122,11 @@
 	keysFor uint64 // term in which the request key table is known to exist
 
 	// state belongs to the control goroutine.
-	state   *failover.State
-	lagging map[string]time.Duration
-	lastGC  time.Duration
+	state    *failover.State
+	lagging  map[string]time.Duration
+	lastGC   time.Duration
+	gapSince time.Duration // since when there is no primary, 0: there is one
+	overload overload
 }
 
 // New returns a group that is not running yet.
@@ -130,6 +134,9 @@
 	if opts.Pause == nil {
 		opts.Pause = func(Step) {}
 	}
+	if opts.Gap == nil {
+		opts.Gap = func(time.Duration) {}
+	}
 	if opts.Fallback == 0 {
 		opts.Fallback = max(1, spec.Connections/2)
 	}
@@ -278,6 +285,9 @@
 	g.sweepFloors()
 	g.markClaiming()
 	g.emptyLeaving()
+	if kind, text := g.overload.step(g.opts.Now(), g.shed.Load()); kind != "" {
+		g.opts.Record(kind, "", g.state.Term(), text)
+	}
 }
 
 // emptyLeaving closes idle connections to members that leave and tells the state
@@ -306,6 +316,7 @@
 	case failover.Suspend:
 		g.suspend(a)
 	case failover.Resigned:
+		g.gapSince = 0 // somebody else's from now on
 		g.publish(&view{owner: a.Owner})
 	case failover.Record:
 		g.opts.Record(a.Kind, a.Member, g.state.Term(), a.Text)
@@ -320,6 +331,10 @@
 	g.fine.Add(g.opts.Now(), g.floors.Highest())
 	g.coarse.Add(g.opts.Now(), g.floors.Highest())
 	g.acks.Unlock()
+	if g.gapSince != 0 {
+		g.opts.Gap(g.opts.Now() - g.gapSince)
+		g.gapSince = 0
+	}
 	pools := make(map[string]*upstream.Pool, len(g.spec.Members))
 	for _, m := range g.spec.Members {
 		reserve := 0
@@ -367,6 +382,7 @@
 		next.serving = false
 		next.pools = nil
 		g.leaseEnd.Store(0)
+		g.gapSince = g.opts.Now()
 	}
 	g.publish(&next)
 	if !a.Terminal {
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -167,8 +167,10 @@
 	retry := s.view.pools[member].RetryAfter()
 	switch {
 	case errors.Is(err, upstream.ErrQueueFull):
+		s.group.shed.Add(1)
 		return &refusal{kind: peerpb.Refusal_REFUSAL_QUEUE_FULL, detail: err.Error(), retryAfter: retry}
 	case errors.Is(err, upstream.ErrDeadline):
+		s.group.shed.Add(1)
 		return &refusal{kind: peerpb.Refusal_REFUSAL_DEADLINE, detail: err.Error(), retryAfter: retry}
 	}
 	return err
--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -135,34 +135,28 @@
 func shares(weights map[string]int, grants int) map[string]int {
 	q := New(Config{Capacity: 4, MaxQueue: 100})
 	got := map[string]int{}
+	var running []Request
 	id := uint64(0)
 	offer := func(service string) {
 		id++
-		q.Offer(0, Request{ID: id, Service: service, Weight: weights[service], Deadline: time.Hour})
+		r := Request{ID: id, Service: service, Weight: weights[service], Deadline: time.Hour}
+		if q.Offer(0, r) == Granted {
+			running = append(running, r)
+		}
 	}
 	for service := range weights {
 		for range 50 {
 			offer(service)
 		}
 	}
-	var running []Request
 	for range grants {
-		granted, _ := q.Next(0)
-		running = append(running, granted...)
-		if len(running) == 0 {
-			for service, s := range q.services {
-				running = append(running, Request{Service: service})
-				_ = s
-				break
-			}
-		}
 		r := running[0]
 		running = running[1:]
 		q.Done(r, time.Microsecond)
 		got[r.Service]++
-		if r.ID != 0 {
-			offer(r.Service)
-		}
+		offer(r.Service)
+		granted, _ := q.Next(0)
+		running = append(running, granted...)
 	}
 	return got
 }
--- a/internal/standin/pggroup/eval.go
+++ b/internal/standin/pggroup/eval.go
@@ -351,18 +351,17 @@
 			return nodeOID(n.FuncCall.Args[0], t)
 		}
 	case *pgquery.Node_AExpr:
-		return exprOID(n.AExpr, t)
+		return exprOID(n.AExpr)
 	}
 	return oidText
 }
 
-func exprOID(expr *pgquery.A_Expr, t *table) uint32 {
+func exprOID(expr *pgquery.A_Expr) uint32 {
 	switch expr.Name[0].GetString_().GetSval() {
 	case "+", "-", "*", "/", "%":
 		return oidInt4
 	case "||":
 		return oidText
 	}
-	_ = t
 	return oidBool
 }
