Failover: members are looked at in order, so that runs repeat exactly

Cause: one decision walked a map, so a property could give another verdict on the next run. Change: it walks the members' names. Checked again that the tests can fail: no wait for leases, a longer lease, a majority of one, the lowest successor, fences counted into the lease, and late statuses each fail at least one test.

--- a/internal/failover/reply.go
+++ b/internal/failover/reply.go
@@ -130,7 +130,8 @@
 // advanceObserving fences once a majority has answered and no owner is alive.
 func (s *State) advanceObserving(now time.Duration) []Action {
 	count := 0
-	for _, m := range s.members {
+	for _, name := range s.names {
+		m := s.members[name]
 		if m.answered < s.started {
 			continue
 		}
@@ -143,7 +144,7 @@
 			return s.standDown("owned by "+owner, owner)
 		}
 		if m.status.Role == group.RolePrimary && m.status.Term >= s.term {
-			s.term, s.former = m.status.Term, s.nameOf(m)
+			s.term, s.former = m.status.Term, name
 		}
 		s.acked = group.Max(s.acked, m.status.Acknowledged)
 	}
@@ -154,15 +155,6 @@
 	return append([]Action{Record{Kind: "claim", Text: s.reason}}, s.fence(now)...)
 }
 
-func (s *State) nameOf(m *member) string {
-	for name, other := range s.members {
-		if other == m {
-			return name
-		}
-	}
-	return ""
-}
-
 // liveOwner returns another instance that the member has heard of just now.
 func (s *State) liveOwner(st group.Status) string {
 	if st.Owner == "" || st.Owner == s.self || st.Owner == s.from || st.Released && st.Owner == st.Holder {
