Planned stop: streams between instances end between transactions

Cause: the streams that carry transactions between instances are long-lived and reused. A stopping server waited for them to end by themselves, which they never do, and after its grace reset the connection, so a transaction that an entry had just sent ended with an unknown outcome (08007). Ruled out: the owner's hand-over (the rows that failed were sent after it) and the entry's retries (they rightly refuse to repeat what may have run).

Change: once the server stops, each stream is ended in good order between transactions; an entry that sees this knows that its request was not taken up.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -36,8 +37,10 @@
 // Server serves other instances.
 type Server struct {
 	peerpb.UnimplementedPeerServer
-	backend Backend
-	grpc    *grpc.Server
+	backend  Backend
+	grpc     *grpc.Server
+	stopping chan struct{} // closed by Stop
+	stopOnce sync.Once
 }
 
 // NewServer returns a server that is not listening yet.
@@ -51,7 +54,7 @@
 	if creds != nil {
 		options = append(options, grpc.Creds(creds))
 	}
-	s := &Server{backend: backend, grpc: grpc.NewServer(options...)}
+	s := &Server{backend: backend, grpc: grpc.NewServer(options...), stopping: make(chan struct{})}
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
 }
@@ -66,6 +69,7 @@
 
 // Stop lets calls in flight end, for at most grace, and closes.
 func (s *Server) Stop(grace time.Duration) {
+	s.stopOnce.Do(func() { close(s.stopping) })
 	timer := time.AfterFunc(grace, s.grpc.Stop)
 	defer timer.Stop()
 	s.grpc.GracefulStop()
@@ -108,7 +112,12 @@
 // Run implements peerpb.PeerServer. Requests are received apart from the one
 // being handled, so that a cancel, or the loss of the entry, reaches it.
 func (s *Server) Run(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunReply]) error {
-	session := &runSession{backend: s.backend, stream: stream, requests: make(chan *peerpb.RunRequest)}
+	session := &runSession{
+		backend:  s.backend,
+		stream:   stream,
+		requests: make(chan *peerpb.RunRequest),
+		stopping: s.stopping,
+	}
 	go session.receive()
 	return session.serve()
 }
@@ -118,7 +127,9 @@
 	backend  Backend
 	stream   grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunReply]
 	requests chan *peerpb.RunRequest
+	stopping <-chan struct{} // closed when the server stops
 	current  runnerSlot
+	open     bool // a transaction is open
 }
 
 func (r *runSession) receive() {
@@ -151,7 +162,11 @@
 			runner.Close()
 		}
 	}()
-	for req := range r.requests {
+	for {
+		req, ok := r.next()
+		if !ok {
+			return nil
+		}
 		if req.Header != nil && (runner == nil || req.Header.Group != group) {
 			group = req.Header.Group
 			runner = r.backend.Runner(group)
@@ -163,11 +178,38 @@
 			}
 			continue
 		}
-		if err := runner.Handle(r.stream.Context(), req, r.stream.Send); err != nil {
+		if err := runner.Handle(r.stream.Context(), req, r.send); err != nil {
 			return err
 		}
 	}
-	return nil
+}
+
+// next returns the next request. Once the server stops, the stream is ended in
+// good order between transactions: the entry then knows that a request which it
+// had sent meanwhile was not taken up.
+func (r *runSession) next() (*peerpb.RunRequest, bool) {
+	if r.open {
+		req, ok := <-r.requests
+		return req, ok
+	}
+	select {
+	case <-r.stopping:
+		return nil, false
+	default:
+	}
+	select {
+	case req, ok := <-r.requests:
+		return req, ok
+	case <-r.stopping:
+		return nil, false
+	}
+}
+
+func (r *runSession) send(reply *peerpb.RunReply) error {
+	if reply.Done != nil {
+		r.open = reply.Done.TxStatus != 'I'
+	}
+	return r.stream.Send(reply)
 }
 
 func notOwner() *peerpb.RunReply {
