The client of etcd's gateway is called etcd

platform/ at the top is to hold what the users' platform speaks; two packages of one name would be taken for each other. No behaviour changes.

--- a/internal/platform/client.go
+++ b/internal/etcd/client.go
@@ -1,10 +1,10 @@
-// Package platform talks to the platform's key-value service over the HTTP/JSON
+// Package etcd talks to the platform's key-value service over the HTTP/JSON
 // gateway of etcd v3 (/v3/kv, /v3/watch), as published in etcd's API reference.
 // What is stored lives under one prefix:
 //
 //	PREFIX/resources/KIND/NAME   what operators declare, written by us
 //	PREFIX/instances/NAME        the platform's list of instances, written by it
-package platform
+package etcd
 
 import (
 	"bytes"
--- a/internal/instance/catalogue.go
+++ b/internal/instance/catalogue.go
@@ -10,9 +10,9 @@
 	"github.com/xdg-go/scram"
 
 	"github.com/stackspindle/stackspindle/internal/caller"
+	"github.com/stackspindle/stackspindle/internal/etcd"
 	"github.com/stackspindle/stackspindle/internal/membership"
 	"github.com/stackspindle/stackspindle/internal/owner"
-	"github.com/stackspindle/stackspindle/internal/platform"
 	"github.com/stackspindle/stackspindle/internal/resource"
 	"github.com/stackspindle/stackspindle/internal/rollout"
 )
@@ -42,7 +42,7 @@
 		if entry.Deleted {
 			continue
 		}
-		if entry.Key.Kind == platform.KindInstances {
+		if entry.Key.Kind == etcd.KindInstances {
 			c.addListed(entry, report)
 			continue
 		}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -19,12 +19,12 @@
 	"github.com/stackspindle/stackspindle/internal/caller"
 	"github.com/stackspindle/stackspindle/internal/config"
 	"github.com/stackspindle/stackspindle/internal/dispatch"
+	"github.com/stackspindle/stackspindle/internal/etcd"
 	"github.com/stackspindle/stackspindle/internal/membership"
 	"github.com/stackspindle/stackspindle/internal/operator"
 	"github.com/stackspindle/stackspindle/internal/owner"
 	"github.com/stackspindle/stackspindle/internal/ownership"
 	"github.com/stackspindle/stackspindle/internal/peer"
-	"github.com/stackspindle/stackspindle/internal/platform"
 	"github.com/stackspindle/stackspindle/internal/rollout"
 	"github.com/stackspindle/stackspindle/internal/sqlclass"
 	"github.com/stackspindle/stackspindle/internal/timeline"
@@ -104,7 +104,7 @@
 		pause:       opts.Pause,
 	}
 	if i.store == nil {
-		i.store = platform.NewClient(settings.PlatformEndpoint, settings.PlatformPrefix, settings.PlatformTimeout)
+		i.store = etcd.NewClient(settings.PlatformEndpoint, settings.PlatformPrefix, settings.PlatformTimeout)
 	}
 	for reference, password := range settings.Credentials {
 		stored, err := caller.NewCredentials(password)
--- a/internal/instance/resources.go
+++ b/internal/instance/resources.go
@@ -13,10 +13,10 @@
 
 	"github.com/google/uuid"
 
+	"github.com/stackspindle/stackspindle/internal/etcd"
 	"github.com/stackspindle/stackspindle/internal/findings"
 	"github.com/stackspindle/stackspindle/internal/operator"
 	"github.com/stackspindle/stackspindle/internal/peer/peerpb"
-	"github.com/stackspindle/stackspindle/internal/platform"
 	"github.com/stackspindle/stackspindle/internal/resource"
 	"github.com/stackspindle/stackspindle/internal/rollout"
 	"github.com/stackspindle/stackspindle/internal/timeline"
@@ -140,7 +140,7 @@
 }
 
 func (i *Instance) putError(err error) error {
-	var conflict *platform.ConflictError
+	var conflict *etcd.ConflictError
 	if errors.As(err, &conflict) {
 		current := ""
 		if conflict.Current.Revision > 0 && !conflict.Current.Deleted {
@@ -148,7 +148,7 @@
 		}
 		return &operator.ConflictError{Current: current}
 	}
-	if errors.Is(err, platform.ErrUnsettled) {
+	if errors.Is(err, etcd.ErrUnsettled) {
 		return fmt.Errorf("%w: %w", operator.ErrUnsettled, err)
 	}
 	return fmt.Errorf("%w: %w", operator.ErrStoreDown, err)
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -8,15 +8,15 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/stackspindle/stackspindle/internal/etcd"
 	"github.com/stackspindle/stackspindle/internal/ownership"
-	"github.com/stackspindle/stackspindle/internal/platform"
 	"github.com/stackspindle/stackspindle/internal/rollout"
 	"github.com/stackspindle/stackspindle/internal/timeline"
 )
 
 // Store is the platform's key-value service, as far as instances use it.
 type Store interface {
-	Load(ctx context.Context) (platform.Content, error)
+	Load(ctx context.Context) (etcd.Content, error)
 	Watch(ctx context.Context, after int64, changed func([]rollout.Entry)) error
 	Put(ctx context.Context, key rollout.Key, document string, expected int64, settled func(document string) bool) (int64, error)
 	Calls() int64
@@ -109,7 +109,7 @@
 
 // takeContent puts what the service holds in force, unless it is older than what
 // is in force already.
-func (i *Instance) takeContent(content platform.Content) error {
+func (i *Instance) takeContent(content etcd.Content) error {
 	var failed error
 	i.do(func(c *control) {
 		current := i.catalogue.Load().snapshot
@@ -127,14 +127,14 @@
 
 // withVanished adds the instances that the platform has taken off its list. It
 // removes them outright, whereas resources leave tombstones.
-func withVanished(current *rollout.Snapshot, content platform.Content) []rollout.Entry {
+func withVanished(current *rollout.Snapshot, content etcd.Content) []rollout.Entry {
 	listed := make(map[rollout.Key]bool)
 	entries := content.Entries
 	for _, e := range entries {
 		listed[e.Key] = true
 	}
 	for _, e := range current.Entries() {
-		if e.Key.Kind != platform.KindInstances || listed[e.Key] {
+		if e.Key.Kind != etcd.KindInstances || listed[e.Key] {
 			continue
 		}
 		if !e.Deleted {
