--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -102,9 +102,12 @@
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run one instance",
-		Flags: []cli.Flag{configFlag()},
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: flagConfig, Required: true, Usage: "settings `FILE`", Sources: cli.EnvVars(envConfig),
+		}},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			settings, err := config.Load(cmd.String(flagConfig))
+			path := cmd.String(flagConfig)
+			settings, err := config.Load(path)
 			if err != nil {
 				return err
 			}
@@ -112,11 +115,17 @@
 			if err != nil {
 				return err
 			}
+			if settings.Fleet.Store != "" {
+				return serveFleet(ctx, path, settings, log)
+			}
 			return serve(ctx, settings, log)
 		},
 	}
 }
 
+// envConfig names the settings file where the command line does not.
+const envConfig = "STACKSPINDLE_NODE_FILE"
+
 // serve runs an instance until SIGTERM or SIGINT, then stops it as planned. A
 // second signal ends it at once.
 func serve(ctx context.Context, settings *config.Settings, log *logrus.Logger) error {
--- /dev/null
+++ b/internal/command/fleet.go
@@ -0,0 +1,86 @@
+package command
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/config"
+	"github.com/stackspindle/stackspindle/internal/fleet"
+	"github.com/stackspindle/stackspindle/internal/logs"
+	"github.com/stackspindle/stackspindle/internal/relay"
+	"github.com/stackspindle/stackspindle/platform"
+)
+
+// serveFleet runs an instance on the users' platform until SIGTERM or SIGINT,
+// then stops it as planned. SIGHUP reads the settings file again.
+func serveFleet(ctx context.Context, path string, settings *config.Settings, log *logrus.Logger) error {
+	writer := logs.NewWriter(os.Stdout)
+	defer writer.Close()
+	log.SetOutput(writer)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	inst, err := fleet.New(fleetSettings(settings), usersPlatform(settings), log)
+	if err != nil {
+		return err
+	}
+	if err := inst.Start(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			inst.Stop()
+			return nil
+		case got := <-signals:
+			if got != syscall.SIGHUP {
+				inst.Stop()
+				return nil
+			}
+			reload(path, log)
+		}
+	}
+}
+
+// reload reads the settings file again. All that an instance has there is bound
+// to listeners and names, which stay as they are for the life of the process; so
+// the file is checked, and what is wrong with it is told before the next start.
+func reload(path string, log *logrus.Logger) {
+	entry := log.WithField("part", "settings").WithField("file", path)
+	if _, err := config.Load(path); err != nil {
+		entry.WithError(err).Error("settings: the file has findings; the settings from the start stay in force")
+		return
+	}
+	entry.Info("settings: read again")
+}
+
+func fleetSettings(s *config.Settings) fleet.Settings {
+	return fleet.Settings{
+		Name:          s.Name,
+		DataCentre:    s.DataCentre,
+		CallerListen:  s.CallerListen,
+		PeerListen:    s.PeerListen,
+		ReadyListen:   s.Fleet.Ready,
+		MetricsListen: s.Fleet.Metrics,
+		Grace:         s.Fleet.Grace,
+		LeaseTTL:      s.Fleet.Lease,
+		MaxCallers:    s.Caller.MaxCallers,
+	}
+}
+
+func usersPlatform(s *config.Settings) fleet.Platform {
+	return fleet.Platform{
+		Store:    platform.NewStore(s.Fleet.Store),
+		Promoter: platform.NewPromoter(s.Fleet.Promoter),
+		Dialer:   platform.MemberDialer{},
+		Decoder:  platform.Decoder{},
+		Caller:   func(conn net.Conn) relay.Caller { return platform.NewCallerConn(conn) },
+		Ready:    platform.ReadyHandler,
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,19 @@
 	DrainTime time.Duration // bound of a planned stop
 
 	Credentials map[string]string // password by reference
+
+	Fleet Fleet
+}
+
+// Fleet are the settings of an instance on a platform that keeps the fleet's
+// configuration, its members and what must last in a store of its own.
+type Fleet struct {
+	Store    string // address; empty: the instance runs with [platform] instead
+	Promoter string // address of the interface that promotes members
+	Ready    string // address on which the platform asks whether callers may come
+	Metrics  string // address; empty: no metrics are served
+	Grace    time.Duration
+	Lease    time.Duration
 }
 
 // Defaults returns the settings of an instance for which nothing is configured.
@@ -70,6 +83,9 @@
 		MaxWait:         owner.DefaultMaxWait,
 		DrainTime:       30 * time.Second,
 		Credentials:     make(map[string]string),
+		// The lease is a few renewals long, so that a lost one does not end it, and
+		// short, since a group whose leader died waits for its end.
+		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second},
 	}
 }
 
@@ -150,18 +166,29 @@
 	}
 }
 
+// requirement is a key that must be set.
+type requirement struct {
+	pl    place
+	value string
+}
+
 // complete checks what must be there and what must fit together.
 func (p *parser) complete(s *Settings) {
-	for _, required := range []struct {
-		pl    place
-		value string
-	}{
+	required := []requirement{
 		{place{"instance", "name"}, s.Name},
 		{place{"caller", "listen"}, s.CallerListen},
 		{place{"peer", "listen"}, s.PeerListen},
-		{place{"operator", "listen"}, s.OperatorListen},
-		{place{"platform", "endpoint"}, s.PlatformEndpoint},
-	} {
+	}
+	if s.Fleet.Store != "" {
+		required = append(required,
+			requirement{place{"fleet", "promoter"}, s.Fleet.Promoter},
+			requirement{place{"fleet", "ready"}, s.Fleet.Ready})
+	} else {
+		required = append(required,
+			requirement{place{"operator", "listen"}, s.OperatorListen},
+			requirement{place{"platform", "endpoint"}, s.PlatformEndpoint})
+	}
+	for _, required := range required {
 		if required.value == "" && p.lines[required.pl] == 0 {
 			p.list.Add(p.at(required.pl), "must be set")
 		}
@@ -246,6 +273,12 @@
 		{"reads", "max_wait"}:                  duration(&s.MaxWait),
 		{"reads", "primary_reads"}:             number(&s.Fallback, 0, 10_000),
 		{"stop", "drain_timeout"}:              duration(&s.DrainTime),
+		{"fleet", "store"}:                     address(&s.Fleet.Store),
+		{"fleet", "promoter"}:                  address(&s.Fleet.Promoter),
+		{"fleet", "ready"}:                     address(&s.Fleet.Ready),
+		{"fleet", "metrics"}:                   address(&s.Fleet.Metrics),
+		{"fleet", "grace"}:                     duration(&s.Fleet.Grace),
+		{"fleet", "lease"}:                     duration(&s.Fleet.Lease),
 	}
 }
 
--- /dev/null
+++ b/internal/connpool/connpool.go
@@ -0,0 +1,366 @@
+// Package connpool shares the connections to one member among requests. It is
+// the same for every protocol: what a connection is, how it is opened and when
+// it is clean enough to be shared again is told by a type parameter.
+package connpool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/pool"
+)
+
+// Errors of Acquire. None of them means that anything ran.
+var (
+	ErrQueueFull = errors.New("too many requests of this service wait already")
+	ErrDeadline  = errors.New("no connection came free before the deadline")
+	ErrClosed    = errors.New("the pool is closed")
+	ErrBackoff   = errors.New("the member could not be reached a moment ago")
+)
+
+// Conn is a connection that can be shared.
+type Conn interface {
+	// Alive reports whether an idle connection may be used again.
+	Alive() bool
+	// Clean brings a connection into a state in which another caller may use it,
+	// and reports whether that succeeded.
+	Clean() bool
+	// Kill closes the connection at once. It may be called at any time.
+	Kill()
+}
+
+// Config bounds a pool.
+type Config struct {
+	Queue       pool.Config
+	Dials       int           // connections opened at the same time
+	DialTimeout time.Duration // for one connection
+
+	// After a failed dial no further one is tried for MinBackoff, doubled with
+	// each failure up to MaxBackoff. 0: the next request tries again.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+}
+
+// Pool shares the connections to one member. The queue, the idle list and the
+// backoff are guarded by mu; a connection outside the idle list belongs to
+// whoever acquired it.
+type Pool[C Conn] struct {
+	cfg   Config
+	open  func(ctx context.Context) (C, error)
+	now   func() time.Duration
+	dials chan struct{} // holds a token for each dial in progress
+
+	mu       sync.Mutex
+	queue    *pool.Queue
+	idle     []C
+	all      map[any]C // by themselves
+	waiters  map[uint64]chan struct{}
+	nextID   uint64
+	failures int           // dials that failed in a row
+	retryAt  time.Duration // before which no dial is tried
+	closed   bool
+	done     chan struct{}
+}
+
+// New returns an empty pool. Connections are opened when needed.
+func New[C Conn](cfg Config, open func(ctx context.Context) (C, error), now func() time.Duration) *Pool[C] {
+	return &Pool[C]{
+		cfg:     cfg,
+		open:    open,
+		now:     now,
+		dials:   make(chan struct{}, cfg.Dials),
+		queue:   pool.New(cfg.Queue),
+		all:     make(map[any]C),
+		waiters: make(map[uint64]chan struct{}),
+		done:    make(chan struct{}),
+	}
+}
+
+// Lease is the right to one connection.
+type Lease[C Conn] struct {
+	Conn    C
+	pool    *Pool[C]
+	request pool.Request
+	since   time.Duration
+}
+
+// SetCapacity changes how many connections may be used at once.
+func (p *Pool[C]) SetCapacity(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.SetCapacity(n)
+	p.pass(p.now())
+}
+
+// InUse returns how many connections are leased.
+func (p *Pool[C]) InUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.InUse()
+}
+
+// Waiting returns how many requests wait for a connection.
+func (p *Pool[C]) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Waiting()
+}
+
+// Load returns how many requests hold a connection or wait for one.
+func (p *Pool[C]) Load() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.InUse() + p.queue.Waiting()
+}
+
+// Open returns how many connections exist.
+func (p *Pool[C]) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.all)
+}
+
+// RetryAfter estimates when a refused request would find room.
+func (p *Pool[C]) RetryAfter() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.RetryAfter()
+}
+
+// Acquire waits for a connection until r.Deadline. The request's ID is set here.
+// Among idle connections the one that prefer ranks highest is taken; without
+// prefer it is the one used last.
+func (p *Pool[C]) Acquire(ctx context.Context, r pool.Request, prefer func(C) int) (*Lease[C], error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	p.nextID++
+	r.ID = p.nextID
+	outcome := p.queue.Offer(p.now(), r)
+	var granted chan struct{}
+	if outcome == pool.Queued {
+		granted = make(chan struct{})
+		p.waiters[r.ID] = granted
+	}
+	p.mu.Unlock()
+	switch outcome {
+	case pool.QueueFull:
+		return nil, ErrQueueFull
+	case pool.TooLate:
+		return nil, ErrDeadline
+	case pool.Queued:
+		if err := p.wait(ctx, r, granted); err != nil {
+			return nil, err
+		}
+	}
+	return p.connect(ctx, r, prefer)
+}
+
+func (p *Pool[C]) wait(ctx context.Context, r pool.Request, granted chan struct{}) error {
+	timer := time.NewTimer(r.Deadline - p.now())
+	defer timer.Stop()
+	var cause error
+	select {
+	case <-granted:
+		return nil
+	case <-timer.C:
+		cause = ErrDeadline
+	case <-ctx.Done():
+		cause = ctx.Err()
+	case <-p.done:
+		cause = ErrClosed
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiters, r.ID)
+	if !p.queue.Cancel(r) {
+		select {
+		case <-granted:
+			p.finish(r, p.now()) // granted at the same moment: give it back
+		default:
+		}
+	}
+	return cause
+}
+
+// finish returns a grant and passes it on. The caller holds mu.
+func (p *Pool[C]) finish(r pool.Request, since time.Duration) {
+	now := p.now()
+	p.queue.Done(r, now-since)
+	p.pass(now)
+}
+
+// pass wakes those that the queue grants a connection. The caller holds mu.
+func (p *Pool[C]) pass(now time.Duration) {
+	granted, _ := p.queue.Next(now)
+	for _, g := range granted {
+		if waiter := p.waiters[g.ID]; waiter != nil {
+			delete(p.waiters, g.ID)
+			close(waiter)
+		}
+	}
+}
+
+// connect finds an idle connection for a grant or opens one.
+func (p *Pool[C]) connect(ctx context.Context, r pool.Request, prefer func(C) int) (*Lease[C], error) {
+	lease := &Lease[C]{pool: p, request: r, since: p.now()}
+	var ok bool
+	if lease.Conn, ok = p.takeIdle(prefer); ok {
+		return lease, nil
+	}
+	if p.backingOff() {
+		lease.GiveBack()
+		return nil, ErrBackoff
+	}
+	select {
+	case p.dials <- struct{}{}:
+	case <-ctx.Done():
+		lease.GiveBack()
+		return nil, ctx.Err()
+	}
+	defer func() { <-p.dials }()
+	if lease.Conn, ok = p.takeIdle(prefer); ok {
+		return lease, nil
+	}
+	conn, err := p.dial(ctx)
+	if err != nil {
+		lease.GiveBack()
+		return nil, err
+	}
+	lease.Conn = conn
+	return lease, nil
+}
+
+func (p *Pool[C]) backingOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now() < p.retryAt
+}
+
+// maxDoublings keeps the backoff's shift in range.
+const maxDoublings = 10
+
+func (p *Pool[C]) dial(ctx context.Context) (C, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+	defer cancel()
+	conn, err := p.open(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.retryAt = p.now() + min(p.cfg.MinBackoff<<min(p.failures, maxDoublings), p.cfg.MaxBackoff)
+		p.failures++
+		return conn, fmt.Errorf("connect: %w", err)
+	}
+	p.failures = 0
+	if p.closed {
+		conn.Kill()
+		return conn, ErrClosed
+	}
+	p.all[conn] = conn
+	return conn, nil
+}
+
+// takeIdle takes the idle connection that prefer ranks highest, the one used
+// last among equals.
+func (p *Pool[C]) takeIdle(prefer func(C) int) (C, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		best := len(p.idle) - 1
+		if prefer != nil {
+			for i := best - 1; i >= 0; i-- {
+				if prefer(p.idle[i]) > prefer(p.idle[best]) {
+					best = i
+				}
+			}
+		}
+		conn := p.idle[best]
+		p.idle = append(p.idle[:best], p.idle[best+1:]...)
+		if conn.Alive() {
+			return conn, true
+		}
+		conn.Kill()
+		delete(p.all, conn)
+	}
+	var none C
+	return none, false
+}
+
+// GiveBack ends a lease that holds no connection.
+func (l *Lease[C]) GiveBack() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.pool.finish(l.request, l.since)
+}
+
+// Release ends the lease. The connection is cleaned and shared again, or closed
+// when it cannot be shown to be clean.
+func (l *Lease[C]) Release() {
+	clean := l.Conn.Clean()
+	if !clean {
+		l.Conn.Kill()
+	}
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case clean && !p.closed:
+		p.idle = append(p.idle, l.Conn)
+	default:
+		l.Conn.Kill()
+		delete(p.all, l.Conn)
+	}
+	p.finish(l.request, l.since)
+}
+
+// DropIdle closes the connections that nobody uses.
+func (p *Pool[C]) DropIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		conn.Kill()
+		delete(p.all, conn)
+	}
+	p.idle = nil
+}
+
+// Warm opens connections ahead of need until n exist, one after another.
+func (p *Pool[C]) Warm(ctx context.Context, n int) {
+	for p.Open() < n {
+		select {
+		case p.dials <- struct{}{}:
+		case <-ctx.Done():
+			return
+		case <-p.done:
+			return
+		}
+		conn, err := p.dial(ctx)
+		<-p.dials
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.idle = append(p.idle, conn)
+		p.mu.Unlock()
+	}
+}
+
+// Close refuses new work and breaks all connections, those in use included.
+func (p *Pool[C]) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.closed = true
+	close(p.done)
+	for _, conn := range p.all {
+		conn.Kill()
+	}
+	p.idle = nil
+}
--- /dev/null
+++ b/internal/fleet/follow.go
@@ -0,0 +1,267 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Settings of the calls to the store.
+const (
+	// watchWait is how long the store may hold a watch. A watch whose answer is
+	// lost is noticed after that and watchSlack, which together must stay below
+	// the time in which a configuration must be in force (3 s on the sheets).
+	watchWait = 1500 * time.Millisecond
+	// watchSlack covers the way and a slow store (0.3 s on the sheets).
+	watchSlack = 700 * time.Millisecond
+	// storeTimeout bounds any other call.
+	storeTimeout = 1500 * time.Millisecond
+	// minStorePause and maxStorePause bound the pause after a failed call. Each
+	// call is charged, refused ones too.
+	minStorePause = 50 * time.Millisecond
+	maxStorePause = 400 * time.Millisecond
+	// memberGrace is how long a member whose entry has vanished is still used.
+	// Entries that lapse while the store is away, or while their member cannot
+	// reach it, come back; work for one that is gone must end within 7 s.
+	memberGrace = 4 * time.Second
+)
+
+// change is what the follower learned from the store.
+type change struct {
+	whole  bool // items is all that the store holds; else events came
+	items  []kv.Item
+	events []kv.Event
+	sent   time.Duration // when the call was sent that told it
+	taken  chan struct{} // closed once it is in force
+}
+
+// follow keeps the picture of the store up to date.
+func (i *Instance) follow() error {
+	log := i.part("follower")
+	pause := minStorePause
+	var revision int64
+	listed, lost := false, false
+	for i.ctx.Err() == nil {
+		var err error
+		if listed {
+			revision, err = i.watchOnce(revision)
+		} else {
+			revision, err = i.listOnce()
+		}
+		switch {
+		case err == nil:
+			if lost {
+				log.WithField("revision", revision).Info("follower: the store answers again")
+			}
+			listed, lost, pause = true, false, minStorePause
+			continue
+		case errors.Is(err, kv.ErrCompacted):
+			log.WithField("revision", revision).Info("follower: the store's history is gone; reading it anew")
+			listed = false
+			continue
+		case i.ctx.Err() != nil:
+			return nil
+		}
+		if !lost {
+			log.WithError(err).WithField("revision", revision).Warn("follower: the store does not answer")
+		}
+		lost = true
+		sleep(i.ctx, pause)
+		pause = min(2*pause, maxStorePause)
+	}
+	return nil
+}
+
+func (i *Instance) listOnce() (int64, error) {
+	ctx, cancel := context.WithTimeout(i.ctx, storeTimeout)
+	defer cancel()
+	sent := i.now()
+	items, revision, err := i.platform.Store.List(ctx, "")
+	if err != nil {
+		return 0, err
+	}
+	i.take(change{whole: true, items: items, sent: sent})
+	return revision, nil
+}
+
+func (i *Instance) watchOnce(after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(i.ctx, watchWait+watchSlack)
+	defer cancel()
+	sent := i.now()
+	events, revision, err := i.platform.Store.Watch(ctx, "", after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	i.take(change{events: events, sent: sent})
+	return revision, nil
+}
+
+// take has the control goroutine take a change in.
+func (i *Instance) take(c change) {
+	c.taken = make(chan struct{})
+	select {
+	case i.changes <- c:
+		select {
+		case <-c.taken:
+		case <-i.ctx.Done():
+		}
+	case <-i.ctx.Done():
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// control holds the control state: it takes in what the follower learned,
+// publishes snapshots, and looks at what is due.
+func (i *Instance) control() error {
+	state := topology.New(memberGrace)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case c := <-i.changes:
+			i.takeIn(state, c)
+			close(c.taken)
+		case <-ticker.C:
+			if state.Expire(i.now()) {
+				i.publish(state)
+			}
+		case <-i.ctx.Done():
+			return nil
+		}
+		i.relay.Gates(func(_ string, g *lead.Gate) { g.Enforce(enforceDrain) })
+		if !i.stopping.Load() {
+			i.controller.Tick(i.ctx)
+		}
+	}
+}
+
+// takeIn puts a change in force.
+func (i *Instance) takeIn(state *topology.State, c change) {
+	view, err := i.applyView(c)
+	if err != nil {
+		i.part("control").WithError(err).Error("control: an entry of our own could not be read and is left out")
+	}
+	if i.applyTopology(state, c) {
+		i.publish(state)
+	}
+	if c.whole || len(c.events) > 0 {
+		i.view.Store(view)
+		for group := range i.topology.Load().Groups {
+			if record, revision := view.Record(group); revision > 0 {
+				i.relay.Gate(group).Learn(record, revision)
+			}
+		}
+		i.upstreams.Update(i.topology.Load(), len(view.Registered(i.now())))
+	}
+	if view.IsAlive(i.self.Name, i.self.Incarnation) && !i.stopping.Load() {
+		i.registeredOnce.Store(true)
+		i.heardAt.Store(int64(c.sent))
+		i.relay.Gates(func(_ string, g *lead.Gate) { g.Confirm(c.sent) })
+	}
+}
+
+func (i *Instance) applyView(c change) (*lead.View, error) {
+	if c.whole {
+		return i.view.Load().Replace(i.now(), c.items)
+	}
+	if len(c.events) == 0 {
+		return i.view.Load(), nil
+	}
+	return i.view.Load().Apply(i.now(), c.events)
+}
+
+// applyTopology takes in configuration and members, and reports whether anything
+// changed.
+func (i *Instance) applyTopology(state *topology.State, c change) bool {
+	changed := false
+	if c.whole {
+		present := make(map[string]bool)
+		for _, item := range c.items {
+			changed = i.applyKey(state, kv.Event{Item: item}) || changed
+			if id, ok := i.platform.Decoder.MemberID(item.Key); ok {
+				present[id] = true
+			}
+		}
+		state.KeepMembers(i.now(), present)
+		return changed
+	}
+	for _, e := range c.events {
+		changed = i.applyKey(state, e) || changed
+	}
+	return changed
+}
+
+func (i *Instance) applyKey(state *topology.State, e kv.Event) bool {
+	log := i.part("control").WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision})
+	decoder := i.platform.Decoder
+	if decoder.IsConfig(e.Key) && !e.Deleted {
+		config, err := decoder.Config(e.Value)
+		if err != nil {
+			log.WithError(err).Error("control: the configuration cannot be read; the one before stays in force")
+			return false
+		}
+		if !state.SetConfig(config) {
+			return false
+		}
+		log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("control: a configuration is in force")
+		return true
+	}
+	id, ok := decoder.MemberID(e.Key)
+	if !ok {
+		return false
+	}
+	if e.Deleted {
+		log.WithField("member", id).Info("control: a member's entry has vanished")
+		state.DropMember(i.now(), id)
+		return false
+	}
+	m, err := decoder.Member(id, e.Value)
+	if err != nil {
+		log.WithError(err).Error("control: a member's entry cannot be read and is left out")
+		return false
+	}
+	if state.SetMember(m) {
+		log.WithFields(logrus.Fields{"member": id, "group": m.Group, "draining": m.Draining, "claims_primary": m.Primary}).
+			Info("control: a member's entry has changed")
+		return true
+	}
+	return false
+}
+
+// publish makes the picture known to the traffic.
+func (i *Instance) publish(state *topology.State) {
+	snap := state.Snapshot()
+	i.topology.Store(snap)
+	i.upstreams.Update(snap, len(i.view.Load().Registered(i.now())))
+}
+
+// surroundings gives the controller its picture of the instance.
+type surroundings struct{ i *Instance }
+
+func (s surroundings) Topology() *topology.Snapshot { return s.i.topology.Load() }
+func (s surroundings) View() *lead.View             { return s.i.view.Load() }
+func (s surroundings) Gate(group string) *lead.Gate { return s.i.relay.Gate(group) }
+
+func (s surroundings) Lease() kv.LeaseID {
+	if !s.i.view.Load().IsAlive(s.i.self.Name, s.i.self.Incarnation) {
+		return 0
+	}
+	return kv.LeaseID(s.i.lease.Load())
+}
+
+func (s surroundings) Heard(id string) (time.Duration, bool) { return s.i.upstreams.Heard(id) }
+func (s surroundings) NoteAnswer(id string)                  { s.i.upstreams.NoteAnswer(id) }
--- /dev/null
+++ b/internal/fleet/instance.go
@@ -0,0 +1,272 @@
+// Package fleet puts the parts of an instance on the users' platform together:
+// the picture of the surroundings that it follows in the store, its registration,
+// the groups that it leads, and the callers that it serves. It knows the platform
+// through ports only.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/relay"
+	"github.com/stackspindle/stackspindle/internal/timeline"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Decoder decodes what operators and members keep in the store.
+type Decoder interface {
+	IsConfig(key string) bool
+	Config(raw []byte) (topology.Config, error)
+	MemberID(key string) (string, bool)
+	Member(id string, raw []byte) (topology.Member, error)
+}
+
+// Platform is what an instance needs of the platform that it runs on.
+type Platform struct {
+	Store    kv.Store
+	Promoter lead.Promoter
+	Dialer   member.Dialer
+	Decoder  Decoder
+	Caller   func(net.Conn) relay.Caller
+	// Ready returns the handler that tells the platform whether the instance
+	// takes callers.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Settings are the settings of an instance.
+type Settings struct {
+	Name          string
+	DataCentre    string
+	CallerListen  string
+	PeerListen    string // also the address under which others reach the instance
+	ReadyListen   string
+	MetricsListen string        // empty: no metrics are served
+	Grace         time.Duration // after which the platform ends a process that was asked to stop
+	LeaseTTL      time.Duration
+	MaxCallers    int
+}
+
+// Settings of the parts.
+const (
+	tickInterval    = 50 * time.Millisecond // bounds how late a fault is noticed
+	backgroundTasks = 256
+	eventsKept      = 512
+	// enforceDrain is how long open work may outlast a grant that ended without a
+	// release: the same as a planned change gives it.
+	enforceDrain = 500 * time.Millisecond
+)
+
+// Instance is one running instance.
+type Instance struct {
+	settings Settings
+	platform Platform
+	self     lead.Instance
+	log      *logrus.Logger
+	started  time.Time
+	set      *metrics.Set
+	ring     *timeline.Ring
+
+	topology       atomic.Pointer[topology.Snapshot]
+	view           atomic.Pointer[lead.View]
+	lease          atomic.Int64 // of the registration, 0: none
+	heardAt        atomic.Int64 // when the last store call was sent that confirmed the grants
+	registeredOnce atomic.Bool
+	stopping       atomic.Bool
+
+	changes    chan change // to the control goroutine
+	upstreams  *relay.Upstreams
+	relay      *relay.Relay
+	callers    *relay.Server
+	controller *lead.Controller
+	background *ants.Pool
+	peers      *grpc.Server
+	servers    []*http.Server
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New returns an instance that does not run yet.
+func New(settings Settings, platform Platform, log *logrus.Logger) (*Instance, error) {
+	i := &Instance{
+		settings: settings,
+		platform: platform,
+		self: lead.Instance{
+			Name: settings.Name, Incarnation: uuid.NewString(),
+			Address: settings.PeerListen, DataCentre: settings.DataCentre,
+		},
+		log:     log,
+		started: time.Now(),
+		set:     metrics.NewSet(),
+		ring:    timeline.NewRing(settings.Name, timeline.NewClock(time.Now), eventsKept),
+		changes: make(chan change),
+	}
+	i.topology.Store(topology.New(memberGrace).Snapshot())
+	i.view.Store(lead.NewView())
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	var err error
+	if i.background, err = ants.NewPool(backgroundTasks, ants.WithNonblocking(true)); err != nil {
+		return nil, fmt.Errorf("background tasks: %w", err)
+	}
+	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
+	i.relay = relay.New(i.started, i.topology.Load, i.upstreams, i.part("relay"), i.set)
+	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
+		return nil, err
+	}
+	i.controller = lead.NewController(i.self, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
+		i.now, i.spawn, i.part("lead"))
+	i.peers = grpc.NewServer()
+	leadpb.RegisterCoordinationServer(i.peers, lead.NewServer(i.self.Incarnation, i.relay.Gate, i.upstreams.Heard))
+	return i, nil
+}
+
+// part returns the log of a part, whose name stands in each line.
+func (i *Instance) part(name string) *logrus.Entry {
+	return i.log.WithFields(logrus.Fields{"part": name, "instance": i.settings.Name})
+}
+
+func (i *Instance) now() time.Duration { return time.Since(i.started) }
+
+// Start opens the listeners and begins to work.
+func (i *Instance) Start() error {
+	callers, err := net.Listen("tcp", i.settings.CallerListen)
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	peers, err := net.Listen("tcp", i.settings.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	if err := i.serveHTTP("ready", i.settings.ReadyListen, i.platform.Ready(i.Ready)); err != nil {
+		return err
+	}
+	if i.settings.MetricsListen != "" {
+		if err := i.serveHTTP("metrics", i.settings.MetricsListen, http.HandlerFunc(i.serveMetrics)); err != nil {
+			return err
+		}
+	}
+	i.run("callers", func() error { return i.callers.Serve(callers) })
+	i.run("peers", func() error { return i.peers.Serve(peers) })
+	i.run("control", i.control)
+	i.run("follower", i.follow)
+	i.run("registration", i.keepRegistered)
+	i.part("instance").WithFields(logrus.Fields{"incarnation": i.self.Incarnation, "callers": i.settings.CallerListen}).
+		Info("instance: started")
+	return nil
+}
+
+// run runs a part until it ends. That it failed is logged.
+func (i *Instance) run(part string, f func() error) {
+	i.done.Add(1)
+	go func() {
+		defer i.done.Done()
+		if err := f(); err != nil && i.ctx.Err() == nil {
+			i.part(part).WithError(err).Error(part + ": ended")
+		}
+	}()
+}
+
+// Settings of the HTTP servers.
+const headerTimeout = 2 * time.Second // the platform's probes are small and near
+
+func (i *Instance) serveHTTP(part, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("%s: %w", part, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	i.servers = append(i.servers, server)
+	i.run(part, func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// Ready reports whether the instance takes callers: it has a configuration, is
+// registered, and has heard the store recently enough to use primaries.
+func (i *Instance) Ready() bool {
+	heard := time.Duration(i.heardAt.Load())
+	return !i.stopping.Load() && i.topology.Load().Version > 0 && i.registeredOnce.Load() &&
+		i.now()-heard < lead.GrantValidity
+}
+
+// spawn runs a task in the background.
+func (i *Instance) spawn(task func()) {
+	if err := i.background.Submit(task); err != nil {
+		go task() // it was promised to run; there are few
+	}
+}
+
+// Stop is the planned stop. It ends by itself within the platform's grace.
+func (i *Instance) Stop() {
+	i.stopping.Store(true)
+	i.part("instance").WithField("callers", i.callers.Callers()).Info("instance: planned stop")
+	half, cancel := context.WithTimeout(context.Background(), i.settings.Grace/2)
+	defer cancel()
+	i.leave(half)
+	select {
+	case <-time.After(min(takenOut, i.settings.Grace/3)):
+	case <-half.Done():
+	}
+	i.callers.CloseListener()
+	i.callers.Stop(half)
+	i.close()
+}
+
+// takenOut is after what time no new callers come: the platform asks once a
+// second and takes an instance out after two misses.
+const takenOut = 2300 * time.Millisecond
+
+// leave gives up the registration, and with it the groups that are led, so that
+// others take them over at once.
+func (i *Instance) leave(ctx context.Context) {
+	id := kv.LeaseID(i.lease.Swap(0))
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := i.platform.Store.Revoke(ctx, id); err != nil {
+		i.part("registration").WithError(err).Info("registration: the lease was not ended; it lapses")
+	}
+}
+
+// close ends all parts.
+func (i *Instance) close() {
+	i.cancel()
+	for _, server := range i.servers {
+		_ = server.Close() // nothing on it is worth waiting for
+	}
+	i.peers.Stop()
+	i.callers.CloseListener()
+	i.upstreams.Close()
+	i.controller.Close()
+	i.done.Wait()
+	i.background.Release()
+	i.part("instance").Info("instance: stopped")
+}
+
+func (i *Instance) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	i.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/fleet/register.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/timeline"
+)
+
+// Settings of the registration.
+const (
+	// renewalsPerTTL is how often a lease is renewed within its time, so that one
+	// lost renewal does not end it.
+	renewalsPerTTL = 3
+	// registerPause is the pause after a registration that did not succeed.
+	registerPause = 150 * time.Millisecond
+)
+
+// keepRegistered keeps the instance's entry in the store, on a lease.
+func (i *Instance) keepRegistered() error {
+	for i.ctx.Err() == nil {
+		sleep(i.ctx, i.registrationStep())
+	}
+	return nil
+}
+
+// registrationStep does what is due and returns when to come back.
+func (i *Instance) registrationStep() time.Duration {
+	if i.stopping.Load() || i.topology.Load().Version == 0 {
+		return registerPause // without a picture of the store nothing can be conditional
+	}
+	log := i.part("registration")
+	view := i.view.Load()
+	id := kv.LeaseID(i.lease.Load())
+	if id == 0 || !view.IsAlive(i.self.Name, i.self.Incarnation) {
+		if err := i.register(view); err != nil {
+			log.WithError(err).Info("registration: did not succeed, or its answer was lost")
+			return registerPause
+		}
+		log.Info("registration: the instance is registered")
+		return i.settings.LeaseTTL / renewalsPerTTL
+	}
+	ctx, cancel := context.WithTimeout(i.ctx, i.settings.LeaseTTL/renewalsPerTTL)
+	defer cancel()
+	started := i.now()
+	switch err := i.platform.Store.Renew(ctx, id); {
+	case errors.Is(err, kv.ErrNoLease):
+		log.Warn("registration: the lease is over; registering anew")
+		i.lease.CompareAndSwap(int64(id), 0)
+		return 0
+	case err != nil:
+		log.WithError(err).Info("registration: the lease was not renewed")
+		return registerPause
+	}
+	i.forget(view)
+	return max(registerPause, i.settings.LeaseTTL/renewalsPerTTL-(i.now()-started))
+}
+
+// register opens a lease and writes the instance's entry, together with the sign
+// that it is alive.
+func (i *Instance) register(view *lead.View) error {
+	ctx, cancel := context.WithTimeout(i.ctx, storeTimeout)
+	defer cancel()
+	lease, err := i.platform.Store.Grant(ctx, i.settings.LeaseTTL)
+	if err != nil {
+		return err
+	}
+	if _, err := i.platform.Store.Commit(ctx, view.Registration(i.self, lease.ID)); err != nil {
+		return err
+	}
+	i.lease.Store(int64(lease.ID))
+	// The watch shows the entry; until then nothing else is to be written.
+	for waited := time.Duration(0); waited < storeTimeout && i.ctx.Err() == nil; waited += registerPause / 10 {
+		if i.view.Load().IsAlive(i.self.Name, i.self.Incarnation) {
+			return nil
+		}
+		sleep(i.ctx, registerPause/10)
+	}
+	return nil
+}
+
+// forget removes the entries of instances that have been gone for long. One
+// instance does it for all.
+func (i *Instance) forget(view *lead.View) {
+	if view.Rank("", i.self.Name) > 0 {
+		return
+	}
+	for name, revision := range view.Forgettable(i.now()) {
+		ctx, cancel := context.WithTimeout(i.ctx, storeTimeout)
+		_, err := i.platform.Store.Commit(ctx, lead.Forgetting(name, revision))
+		cancel()
+		i.part("registration").WithField("gone", name).WithError(err).Info("registration: removing the entry of an instance that is gone")
+	}
+}
+
+// Event implements lead.Surroundings.
+func (s surroundings) Event(kind, group, member string, term uint64, text string) {
+	e := s.i.ring.Add(timeline.Event{Kind: kind, Group: group, Member: member, Term: term, Text: text})
+	s.i.part("timeline").WithField("kind", e.Kind).WithField("group", e.Group).WithField("member", e.Member).
+		WithField("term", e.Term).Info("timeline: " + e.Text)
+}
--- /dev/null
+++ b/internal/lead/controller.go
@@ -0,0 +1,358 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Settings of the controller.
+const (
+	// rankDelay is how long each further candidate waits before it takes over a
+	// group without a leader, so that they do not write all at once: some store
+	// calls (4 ms each on the sheets, 60 times that when the store is slow).
+	rankDelay = 300 * time.Millisecond
+	// storeTimeout bounds one call of the store; slow ones take 0.3 s.
+	storeTimeout = 1500 * time.Millisecond
+	// probeAfter is for how long a primary may be silent before it is asked.
+	probeAfter = 250 * time.Millisecond
+	// probeTimeout bounds one question to a member: it may wait behind a queue of
+	// statements there (24 of some 20 ms on 3 slots).
+	probeTimeout = 350 * time.Millisecond
+	// silence is after how long without an answer a primary counts as dark. It
+	// covers two probes; a false alarm costs a change of primary (0.3 to 0.6 s).
+	silence = 800 * time.Millisecond
+	// refusals is how many refused connections in a row show a dead process.
+	refusals = 2
+	// witnessAge is how recently another instance must have heard from a member
+	// for it to count as alive there.
+	witnessAge = 400 * time.Millisecond
+	// witnessTimeout bounds the question to the other instances.
+	witnessTimeout = 250 * time.Millisecond
+	// attemptTimeout bounds one attempt to change a primary, the longest wait for
+	// grants included.
+	attemptTimeout = GrantValidity + 5*time.Second
+)
+
+// Promoter makes a member the primary of its group.
+type Promoter interface {
+	Promote(ctx context.Context, group, member, instance string, fencingToken uint64) error
+}
+
+// Surroundings is what the controller reads of the rest of the instance.
+type Surroundings interface {
+	Topology() *topology.Snapshot
+	View() *View
+	Lease() kv.LeaseID // 0: the instance is not registered now
+	Gate(group string) *Gate
+	// Heard tells how long ago a member answered this instance.
+	Heard(member string) (time.Duration, bool)
+	// NoteAnswer records that a member answered.
+	NoteAnswer(member string)
+	// Event puts a change of belief on the time line.
+	Event(kind, group, member string, term uint64, text string)
+}
+
+// Controller leads groups: it takes over those that have no leader, watches the
+// primaries of those that it leads, and replaces them. Tick is called by one
+// goroutine; what takes long runs on others, one at a time for a group.
+type Controller struct {
+	self     Instance
+	store    kv.Store
+	promoter Promoter
+	dialer   member.Dialer
+	around   Surroundings
+	now      func() time.Duration
+	spawn    func(func())
+	log      *logrus.Entry
+	peers    *peers
+
+	mu     sync.Mutex // guards groups
+	groups map[string]*ledGroup
+}
+
+// ledGroup is what the controller keeps of one group. Its fields belong to the
+// task that runs for the group, or to Tick while none does.
+type ledGroup struct {
+	busy      bool // a task runs; guarded by the controller's mu
+	refused   int  // connections to the primary refused in a row
+	silent    bool // the last question to the primary got no answer
+	probedAt  time.Duration
+	leading   int64         // revision of the leader's key at the last look
+	inherited string        // change that was under way when we took over
+	takenAt   time.Duration // when we took over
+	outcome   *outcome      // reached, but perhaps not in the store yet
+	conn      member.Conn   // to the primary, for questions
+	connTo    string
+}
+
+// outcome is the end of a change as the members show it.
+type outcome struct {
+	record   Record
+	revision int64 // of the record that announced the change
+}
+
+// NewController returns the controller of an instance. spawn runs a task in the
+// background.
+func NewController(self Instance, store kv.Store, promoter Promoter, dialer member.Dialer, around Surroundings,
+	now func() time.Duration, spawn func(func()), log *logrus.Entry) *Controller {
+	return &Controller{
+		self: self, store: store, promoter: promoter, dialer: dialer, around: around,
+		now: now, spawn: spawn, log: log, peers: newPeers(), groups: make(map[string]*ledGroup),
+	}
+}
+
+// Close ends the connections to other instances.
+func (c *Controller) Close() { c.peers.close() }
+
+// Tick looks at every group and starts what is due.
+func (c *Controller) Tick(ctx context.Context) {
+	view, lease := c.around.View(), c.around.Lease()
+	for group := range c.around.Topology().Groups {
+		task := c.due(view, lease, group)
+		if task == nil {
+			continue
+		}
+		g := c.claimTask(group)
+		if g == nil {
+			continue
+		}
+		c.spawn(func() {
+			defer c.endTask(g)
+			task(ctx, group, g)
+		})
+	}
+}
+
+type task func(ctx context.Context, group string, g *ledGroup)
+
+// due returns what is to be done for a group now, nil for nothing.
+func (c *Controller) due(view *View, lease kv.LeaseID, group string) task {
+	leader, _ := view.Leader(group)
+	switch {
+	case leader.Instance == c.self.Name && leader.Incarnation == c.self.Incarnation:
+		return c.watchPrimary
+	case leader.Instance != "" || lease == 0:
+		return nil
+	}
+	since, known := view.Leaderless(c.now(), group)
+	if known && since < time.Duration(view.Rank(group, c.self.Name))*rankDelay {
+		return nil
+	}
+	if !known && view.Rank(group, c.self.Name) > 0 {
+		return nil // a group without a record: the first in rank creates it
+	}
+	return c.takeOver
+}
+
+// claimTask returns the group for one task, nil while another runs.
+func (c *Controller) claimTask(group string) *ledGroup {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.groups[group]
+	if g == nil {
+		g = &ledGroup{}
+		c.groups[group] = g
+	}
+	if g.busy {
+		return nil
+	}
+	g.busy = true
+	return g
+}
+
+func (c *Controller) endTask(g *ledGroup) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.busy = false
+}
+
+// takeOver makes this instance the leader of a group that has none.
+func (c *Controller) takeOver(ctx context.Context, group string, g *ledGroup) {
+	view := c.around.View()
+	record, revision := view.Record(group)
+	record.Group = group
+	record.Generation++
+	record.Leader = c.self.Name
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := c.store.Commit(ctx, kv.Txn{
+		Expect: []kv.Expect{{Key: prefixLeader + group}, {Key: prefixGroup + group, Revision: revision}},
+		Puts: []kv.Put{
+			{Key: prefixLeader + group, Value: encode(Leader{c.self.Name, c.self.Incarnation}), Lease: c.around.Lease()},
+			{Key: prefixGroup + group, Value: encode(record)},
+		},
+	})
+	log := c.log.WithFields(logrus.Fields{"group": group, "generation": record.Generation, "revision": revision})
+	if err != nil {
+		// Whether it took effect shows in the watch, and only that counts.
+		log.WithError(err).Info("lead: taking over the group did not succeed, or its answer was lost")
+		return
+	}
+	log.Info("lead: this instance took the group over")
+}
+
+// noteLead begins anew when the leadership is not the one of the last look.
+func (c *Controller) noteLead(g *ledGroup, group string, leaderRevision int64, record Record) {
+	if g.leading == leaderRevision {
+		return
+	}
+	g.leading, g.takenAt = leaderRevision, c.now()
+	g.refused, g.silent, g.inherited, g.outcome = 0, false, "", nil
+	if record.Change != nil {
+		g.inherited = record.Change.ID
+	}
+	c.around.Event("leader", group, record.Primary, record.Term, "this instance leads the group")
+}
+
+// watchPrimary looks after the primary of a group that this instance leads.
+func (c *Controller) watchPrimary(ctx context.Context, group string, g *ledGroup) {
+	record, revision := c.around.Gate(group).Record()
+	if revision == 0 {
+		return
+	}
+	_, leaderRevision := c.around.View().Leader(group)
+	c.noteLead(g, group, leaderRevision, record)
+	if g.outcome != nil && g.outcome.revision == revision {
+		c.recordOutcome(ctx, group, g)
+		return
+	}
+	if record.Change != nil {
+		c.replace(ctx, group, g, *record.Change)
+		return
+	}
+	if record.Primary == "" {
+		c.discover(ctx, group, g)
+		return
+	}
+	primary, known := c.around.Topology().Members[record.Primary]
+	switch {
+	case !known:
+		c.begin(ctx, group, g, "the primary's entry is gone", false)
+	case primary.Draining:
+		c.begin(ctx, group, g, "the primary drains", true)
+	default:
+		c.checkHealth(ctx, group, g, primary)
+	}
+}
+
+// checkHealth asks a primary that was silent for a while, and begins to replace
+// one that is dead.
+func (c *Controller) checkHealth(ctx context.Context, group string, g *ledGroup, primary topology.Member) {
+	age, heard := c.around.Heard(primary.ID)
+	now := c.now()
+	if heard && age < probeAfter {
+		g.refused, g.silent = 0, false
+		return
+	}
+	if now-g.probedAt < probeAfter/2 {
+		return
+	}
+	g.probedAt = now
+	status, err := c.ask(ctx, g, primary)
+	switch verdict := judge(err); verdict {
+	case answers:
+		g.refused, g.silent = 0, false
+		c.around.NoteAnswer(primary.ID)
+		if err == nil && !status.Primary {
+			c.begin(ctx, group, g, "the primary does not lead any more", false)
+		}
+		return
+	case refuses:
+		g.refused++
+	case isSilent:
+		g.silent = true
+	}
+	age, heard = c.around.Heard(primary.ID)
+	if !dead(g.refused, g.silent, age, heard, now-g.takenAt) {
+		return
+	}
+	if name, recently := c.witnessed(ctx, primary.ID); recently {
+		c.log.WithFields(logrus.Fields{"group": group, "member": primary.ID, "witness": name, "refused": g.refused}).
+			Info("lead: the primary does not answer here, but another instance hears it; it stays")
+		return
+	}
+	reason := "the primary is silent"
+	if g.refused >= refusals {
+		reason = "the primary refuses connections"
+	}
+	c.begin(ctx, group, g, reason, false)
+}
+
+// verdict is what the outcome of a question says about a member.
+type verdict int
+
+const (
+	answers verdict = iota
+	refuses
+	isSilent
+)
+
+// judge tells a member that answers, whatever it says, from one that is gone and
+// from one that is silent.
+func judge(err error) verdict {
+	var refusal *statement.Error
+	switch {
+	case err == nil:
+		return answers
+	case errors.As(err, &refusal):
+		if refusal.Code == statement.Misrouted {
+			return refuses // another member lives at the address
+		}
+		return answers
+	case isTimeout(err):
+		return isSilent
+	}
+	return refuses
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// dead decides whether a primary that did not answer is to be replaced.
+func dead(refused int, silent bool, sinceAnswer time.Duration, heard bool, led time.Duration) bool {
+	if refused >= refusals {
+		return true
+	}
+	if !heard {
+		sinceAnswer = led // never: count from when we began to look
+	}
+	return silent && sinceAnswer >= silence
+}
+
+// ask asks the primary for its status, on a connection of the controller's own.
+func (c *Controller) ask(ctx context.Context, g *ledGroup, m topology.Member) (member.Status, error) {
+	deadline := time.Now().Add(probeTimeout)
+	if g.conn == nil || g.connTo != m.ID || !g.conn.Silent() {
+		c.hangUp(g)
+		dialCtx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		conn, err := c.dialer.Dial(dialCtx, m)
+		if err != nil {
+			return member.Status{}, err
+		}
+		g.conn, g.connTo = conn, m.ID
+	}
+	status, err := g.conn.Status(deadline)
+	if errors.Is(err, member.ErrBroken) {
+		c.hangUp(g)
+	}
+	return status, err
+}
+
+func (c *Controller) hangUp(g *ledGroup) {
+	if g.conn != nil {
+		g.conn.Close()
+		g.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/lead/record.go
@@ -0,0 +1,79 @@
+// Package lead decides which member of a database group is its primary.
+//
+// Several instances that write to the same primary harm nobody: its log orders
+// them. Harm comes only from work on a primary after another member was promoted.
+// So using a primary needs a grant that is easily kept, and promoting needs that
+// all grants are gone:
+//
+//   - The group's record lies in the store without a lease. It names the primary,
+//     its term, and a change of primary that is under way. Every write of it
+//     depends on the revision that its writer saw.
+//   - An instance holds a grant for the primary of a record while it has seen that
+//     record, without a change under way, in an answer of the store to a call that
+//     it sent less than GrantValidity ago.
+//   - One instance leads the group. Only it changes the record, while its key on a
+//     lease is in the store. To change the primary it writes the change into the
+//     record, has every registered instance release its grant, or waits until the
+//     grant of one that cannot be reached has lapsed, and only then promotes.
+//
+// So traffic goes on while the store is away, for as long as the grants last, and
+// a lease that is lost, revoked or refused costs no statement.
+package lead
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Keys in the store.
+const (
+	keyRoot        = "stackspindle/"
+	prefixInstance = keyRoot + "instances/" // who may hold grants; no lease
+	prefixAlive    = keyRoot + "alive/"     // on the instance's lease
+	prefixGroup    = keyRoot + "groups/"    // the records; no lease
+	prefixLeader   = keyRoot + "leaders/"   // on the leader's lease
+)
+
+// Instance is an instance's entry in the store.
+type Instance struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"` // unique to one process
+	Address     string `json:"address"`     // for calls of other instances
+	DataCentre  string `json:"data_centre"`
+}
+
+// Change is a change of primary that is under way.
+type Change struct {
+	ID      string `json:"id"` // unique to one attempt
+	Reason  string `json:"reason"`
+	Planned bool   `json:"planned"` // the old primary serves until it is replaced
+}
+
+// Record is what the store holds of a group. Generation rises with each change
+// of leader and is the fencing token of its promotions.
+type Record struct {
+	Group      string  `json:"group"`
+	Generation uint64  `json:"generation"`
+	Leader     string  `json:"leader"`
+	Primary    string  `json:"primary"` // member's ID; empty: not known yet
+	Term       uint64  `json:"term"`    // in which the primary leads
+	Change     *Change `json:"change,omitempty"`
+}
+
+func encode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("lead: %T cannot be encoded: %v", v, err)) // no such type is stored
+	}
+	return raw
+}
+
+func decode[T any](raw []byte) (T, error) {
+	var v T
+	err := json.Unmarshal(raw, &v)
+	return v, err
+}
+
+// keyOf returns what follows a prefix.
+func keyOf(key, prefix string) (string, bool) { return strings.CutPrefix(key, prefix) }
--- /dev/null
+++ b/internal/lead/select.go
@@ -0,0 +1,55 @@
+package lead
+
+import "github.com/stackspindle/stackspindle/internal/group"
+
+// Selection is what decides who should lead.
+type Selection struct {
+	Old          string         // the primary that is to be replaced
+	Term         uint64         // in which it led
+	Planned      bool           // it is to be replaced although it is well
+	Last         group.Position // end of its log, when it stepped down; zero: not known
+	Replicas     int            // of the group
+	SyncReplicas int            // that had received each acknowledged commit
+	Hurry        bool           // do not wait for a log to reach Last any longer
+}
+
+// Select returns who should lead, given what the members said, or false while
+// that cannot be decided. One that leads in a newer term goes first: it was
+// promoted already. An old primary that leads still, and need not be replaced,
+// stays. Else the furthest log wins.
+func Select(answers []found, s Selection) (found, bool) {
+	var best *found
+	replicas := 0
+	for i := range answers {
+		f := &answers[i]
+		if f.status.Primary && (f.status.Term > s.Term || f.member.ID == s.Old && !s.Planned && !f.member.Draining) {
+			if best == nil || !best.status.Primary || best.status.Term < f.status.Term {
+				best = f
+			}
+			continue
+		}
+		if f.member.ID == s.Old && s.Planned {
+			continue
+		}
+		replicas++
+		if best != nil && best.status.Primary || f.member.Draining {
+			continue
+		}
+		if best == nil || best.status.Received.Less(f.status.Received) {
+			best = f
+		}
+	}
+	switch {
+	case best == nil:
+		return found{}, false
+	case best.status.Primary:
+		return *best, true
+	case s.SyncReplicas > 0 && replicas < s.Replicas-s.SyncReplicas+1 && best.status.Received.Less(s.Last):
+		return found{}, false // one that does not answer may hold what was acknowledged
+	case s.SyncReplicas > 0 && s.Last.IsZero() && replicas < s.Replicas-s.SyncReplicas+1:
+		return found{}, false
+	case best.status.Received.Less(s.Last) && !s.Hurry:
+		return found{}, false
+	}
+	return *best, true
+}
--- /dev/null
+++ b/internal/lead/view.go
@@ -0,0 +1,246 @@
+package lead
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/ownership"
+)
+
+// Leader says who leads a group.
+type Leader struct {
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+}
+
+// held is a decoded document with the revision of its key.
+type held[T any] struct {
+	value    T
+	revision int64
+}
+
+// View is what the store holds of the fleet's own keys. Views are copied on
+// change, so that one that was handed out stays as it is.
+type View struct {
+	instances  map[string]held[Instance] // by name
+	alive      map[string]string         // incarnation by name
+	missing    map[string]time.Duration  // since when a registered name is not alive
+	records    map[string]held[Record]   // by group
+	leaders    map[string]held[Leader]   // by group
+	leaderless map[string]time.Duration  // since when a group with a record has no leader
+}
+
+// NewView returns the view of an empty store.
+func NewView() *View {
+	return &View{
+		instances:  make(map[string]held[Instance]),
+		alive:      make(map[string]string),
+		missing:    make(map[string]time.Duration),
+		records:    make(map[string]held[Record]),
+		leaders:    make(map[string]held[Leader]),
+		leaderless: make(map[string]time.Duration),
+	}
+}
+
+func (v *View) clone() *View {
+	return &View{
+		instances:  maps.Clone(v.instances),
+		alive:      maps.Clone(v.alive),
+		missing:    maps.Clone(v.missing),
+		records:    maps.Clone(v.records),
+		leaders:    maps.Clone(v.leaders),
+		leaderless: maps.Clone(v.leaderless),
+	}
+}
+
+// Apply returns the view after some changes, which must be in the order of their
+// revisions. Keys of others are left out. A document that cannot be decoded is
+// left out too, and named in the error.
+func (v *View) Apply(now time.Duration, events []kv.Event) (*View, error) {
+	next := v.clone()
+	var failed error
+	for _, e := range events {
+		if err := next.apply(e); err != nil {
+			failed = fmt.Errorf("key %s: %w", e.Key, err)
+		}
+	}
+	next.note(now)
+	return next, failed
+}
+
+// Replace returns the view of a store that holds just these items.
+func (v *View) Replace(now time.Duration, items []kv.Item) (*View, error) {
+	next := NewView()
+	next.missing, next.leaderless = maps.Clone(v.missing), maps.Clone(v.leaderless)
+	var failed error
+	for _, item := range items {
+		if err := next.apply(kv.Event{Item: item}); err != nil {
+			failed = fmt.Errorf("key %s: %w", item.Key, err)
+		}
+	}
+	next.note(now)
+	return next, failed
+}
+
+func (v *View) apply(e kv.Event) error {
+	if name, ok := keyOf(e.Key, prefixInstance); ok {
+		return set(v.instances, name, e)
+	}
+	if group, ok := keyOf(e.Key, prefixGroup); ok {
+		return set(v.records, group, e)
+	}
+	if group, ok := keyOf(e.Key, prefixLeader); ok {
+		return set(v.leaders, group, e)
+	}
+	if name, ok := keyOf(e.Key, prefixAlive); ok {
+		if e.Deleted {
+			delete(v.alive, name)
+		} else {
+			v.alive[name] = string(e.Value)
+		}
+	}
+	return nil
+}
+
+func set[T any](into map[string]held[T], name string, e kv.Event) error {
+	if e.Deleted {
+		delete(into, name)
+		return nil
+	}
+	value, err := decode[T](e.Value)
+	if err != nil {
+		return err
+	}
+	into[name] = held[T]{value: value, revision: e.Revision}
+	return nil
+}
+
+// note keeps account of since when something is missing.
+func (v *View) note(now time.Duration) {
+	noteSince(now, v.missing, v.instances, func(name string) bool { _, ok := v.alive[name]; return !ok })
+	noteSince(now, v.leaderless, v.records, func(group string) bool { _, ok := v.leaders[group]; return !ok })
+}
+
+// noteSince notes for each key of a map since when a condition holds.
+func noteSince[T any](now time.Duration, since map[string]time.Duration, keys map[string]T, holds func(string) bool) {
+	for key := range since {
+		if _, ok := keys[key]; !ok || !holds(key) {
+			delete(since, key)
+		}
+	}
+	for key := range keys {
+		if _, noted := since[key]; !noted && holds(key) {
+			since[key] = now
+		}
+	}
+}
+
+// Record returns the record of a group with its revision, 0 when there is none.
+func (v *View) Record(group string) (Record, int64) {
+	h := v.records[group]
+	return h.value, h.revision
+}
+
+// Leader returns who leads a group, with the revision of the key; 0: nobody.
+func (v *View) Leader(group string) (Leader, int64) {
+	h := v.leaders[group]
+	return h.value, h.revision
+}
+
+// Leaderless returns for how long a group with a record has had no leader.
+func (v *View) Leaderless(now time.Duration, group string) (time.Duration, bool) {
+	since, ok := v.leaderless[group]
+	return now - since, ok
+}
+
+// Instance returns the entry of an instance with its revision.
+func (v *View) Instance(name string) (Instance, int64) {
+	h := v.instances[name]
+	return h.value, h.revision
+}
+
+// IsAlive reports whether the entry of a process is in the store on its lease.
+func (v *View) IsAlive(name, incarnation string) bool { return v.alive[name] == incarnation }
+
+// Alive returns the instances whose lease holds, by name.
+func (v *View) Alive() []Instance {
+	var alive []Instance
+	for name := range v.alive {
+		if h, ok := v.instances[name]; ok {
+			alive = append(alive, h.value)
+		}
+	}
+	slices.SortFunc(alive, func(a, b Instance) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return alive
+}
+
+// Registered returns all instances that may hold grants. One that is not alive
+// is left out once its grants have lapsed: it had seen its lease gone in every
+// answer of the store since.
+func (v *View) Registered(now time.Duration) []Instance {
+	var registered []Instance
+	for name, h := range v.instances {
+		if since, gone := v.missing[name]; gone && now-since > GrantValidity+clockDrift {
+			continue
+		}
+		registered = append(registered, h.value)
+	}
+	return registered
+}
+
+// Forgettable returns the instances that have been gone for so long that their
+// entries may be removed, with the revisions of these.
+func (v *View) Forgettable(now time.Duration) map[string]int64 {
+	gone := make(map[string]int64)
+	for name, since := range v.missing {
+		if now-since > 2*GrantValidity {
+			gone[name] = v.instances[name].revision
+		}
+	}
+	return gone
+}
+
+// Rank returns the place of an instance among those that could lead a group, 0
+// for the first. Instances whose lease is gone come last.
+func (v *View) Rank(group, name string) int {
+	var candidates []ownership.Instance
+	for _, i := range v.Alive() {
+		candidates = append(candidates, ownership.Instance{Name: i.Name, DataCentre: i.DataCentre})
+	}
+	order := ownership.Rank(ownership.Group{Name: group}, candidates)
+	if rank := slices.Index(order, name); rank >= 0 {
+		return rank
+	}
+	return len(order)
+}
+
+// Registration returns the transaction that registers an instance, with the sign
+// that it is alive on a lease. Its condition keeps a late one from undoing a
+// later process's.
+func (v *View) Registration(self Instance, lease kv.LeaseID) kv.Txn {
+	known, revision := v.Instance(self.Name)
+	txn := kv.Txn{
+		Expect: []kv.Expect{{Key: prefixInstance + self.Name, Revision: revision}},
+		Puts:   []kv.Put{{Key: prefixAlive + self.Name, Value: []byte(self.Incarnation), Lease: lease}},
+	}
+	if known != self {
+		txn.Puts = append(txn.Puts, kv.Put{Key: prefixInstance + self.Name, Value: encode(self)})
+	}
+	return txn
+}
+
+// Forgetting returns the transaction that removes an instance's entry.
+func Forgetting(name string, revision int64) kv.Txn {
+	return kv.Txn{
+		Expect: []kv.Expect{{Key: prefixInstance + name, Revision: revision}, {Key: prefixAlive + name}},
+		Delete: []string{prefixInstance + name},
+	}
+}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/failover"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/pool"
@@ -341,7 +342,7 @@
 		if m.Name == a.Primary {
 			reserve = g.spec.WriteReserve
 		}
-		cfg := upstream.PoolConfig{
+		cfg := connpool.Config{
 			Queue:       pool.Config{Capacity: g.spec.Connections, WriteReserve: reserve, MaxQueue: g.spec.MaxQueue},
 			Dials:       concurrentDials,
 			DialTimeout: dialTimeout,
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -151,7 +151,7 @@
 		Limit:    int(s.header.MaxConnections),
 		Write:    write,
 		Deadline: deadline,
-	})
+	}, nil)
 	if err != nil {
 		return s.acquireRefusal(err, member)
 	}
--- /dev/null
+++ b/internal/relay/first.go
@@ -0,0 +1,348 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/connpool"
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/pool"
+	"github.com/stackspindle/stackspindle/internal/routing"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Settings of how long a first statement is held.
+const (
+	// untriedShare is the part of its objective for which a statement may wait
+	// without having been offered to a member; then it is refused, so that its
+	// caller can go elsewhere in time. The platform's users count more as a loss.
+	untriedShare = 0.25
+	// answerMargin is kept of that for the refusal to leave.
+	answerMargin = 8 * time.Millisecond
+	// changeHold is how long after the loss of a primary statements for it are
+	// held for the next one: a change takes 0.5 to 1 s, and one that takes longer
+	// waits for something that is not about to end.
+	changeHold = 2500 * time.Millisecond
+	// lostReadShare is the part of its objective after which a read that got no
+	// answer is given to another member.
+	lostReadShare = 0.5
+	// minReadTimeout is the least time a member gets for a read: its work may take
+	// 0.2 s on the sheets, behind others.
+	minReadTimeout = 150 * time.Millisecond
+	// retryPause is the pause after all members have refused.
+	retryPause = 6 * time.Millisecond
+	// comeBack is the advice of a refusal when nothing better is known.
+	comeBack = 50 * time.Millisecond
+	// weightOfFirst is the weight of the highest priority in the queue for
+	// connections; each lower one has half of it.
+	weightOfFirst = 16
+)
+
+// attempt is the work on one first statement.
+type attempt struct {
+	s        *session
+	st       statement.Statement
+	needed   *member.Prepared
+	route    topology.Route
+	group    *groupState
+	gate     *lead.Gate
+	arrived  time.Duration
+	deadline time.Duration // for the whole answer
+	untried  time.Duration // until which it may wait without having been offered
+	reads    bool
+	offered  bool // a member that could run it was asked
+	tries    int
+	why      string // the last refusal, for the caller and the log
+}
+
+// outcome is how one try at a member ended.
+type outcome int
+
+const (
+	served  outcome = iota // the answer is the caller's
+	notRun                 // nothing ran; try elsewhere
+	noRoom                 // no connection came free; nothing was sent
+	unknown                // it may have run
+)
+
+// first runs a statement outside a transaction, or opens one.
+func (s *session) first(st statement.Statement, arrived time.Duration) statement.Answer {
+	snap := s.relay.snapshot()
+	route, ok := snap.Databases[s.database]
+	if !ok {
+		return statement.Failure(statement.Idle, statement.NoDatabase, "no route leads to database %q", s.database)
+	}
+	needed, known := s.needed(st)
+	if !known {
+		return statement.Failure(statement.Idle, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
+	}
+	a := &attempt{
+		s: s, st: st, needed: needed, route: route,
+		group: s.relay.upstreams.group(route.Group), gate: s.relay.Gate(route.Group),
+		arrived: arrived, deadline: arrived + route.Timeout, reads: s.reads(st),
+		why: "no member could be asked",
+	}
+	a.untried = arrived + time.Duration(float64(route.LatencyObjective)*untriedShare) - answerMargin
+	answer := a.run()
+	s.relay.observe(a, answer)
+	return answer
+}
+
+// run tries members until one has served the statement or time is up.
+func (a *attempt) run() statement.Answer {
+	for {
+		answer, out := a.round()
+		switch out {
+		case served:
+			return answer
+		case unknown:
+			return a.giveUpUnknown()
+		}
+		if !a.mayWait() {
+			return a.refuse()
+		}
+		a.pause()
+	}
+}
+
+// now returns the time since the instance started.
+func (a *attempt) now() time.Duration { return a.s.relay.now() }
+
+// mayWait reports whether the statement may be held for another round.
+func (a *attempt) mayWait() bool { return a.now()+retryPause < a.holdUntil() }
+
+// holdUntil returns until when the statement may be held. One that was offered
+// is held for its objective; one that waits for a new primary as long as that is
+// about to come.
+func (a *attempt) holdUntil() time.Duration {
+	switch {
+	case a.offered:
+		return min(a.deadline, a.arrived+a.route.LatencyObjective)
+	case a.needsPrimary():
+		if lost := a.gate.LostFor(); lost > 0 && lost < changeHold {
+			return a.deadline
+		}
+	}
+	return min(a.deadline, a.untried)
+}
+
+// pause waits for a moment, or until the group's primary changes.
+func (a *attempt) pause() {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-a.gate.Changed():
+	case <-timer.C:
+	}
+}
+
+func (a *attempt) needsPrimary() bool {
+	return !a.reads || a.route.Consistency == topology.Strict
+}
+
+// round offers the statement to each member that may serve it, once.
+func (a *attempt) round() (statement.Answer, outcome) {
+	if a.needsPrimary() {
+		return a.tryPrimary(a.holdUntil())
+	}
+	required, ok := a.required()
+	if !ok {
+		a.why = "no replica is known to be fresh enough"
+		return a.tryPrimary(a.holdUntil())
+	}
+	order := routing.Order(a.candidates(), required)
+	last := noRoom
+	for i, c := range order {
+		wait := time.Duration(0) // a connection that is free now
+		if i == 0 && a.tries > 0 || len(order) == 1 {
+			wait = retryPause
+		}
+		answer, out := a.tryOne(c, required, a.now()+wait, len(order)-i > 1)
+		if out == served || out == unknown {
+			return answer, out
+		}
+		last = out
+	}
+	a.tries++
+	return statement.Answer{}, last
+}
+
+// required returns the position that a read must see, or false when no sample
+// of the primary is young enough.
+func (a *attempt) required() (group.Position, bool) {
+	p, ok := a.group.required(a.arrived - a.route.MaxStaleness)
+	if !ok {
+		return group.Position{}, false
+	}
+	if a.route.Consistency == topology.ReadYourWrites {
+		p = group.Max(p, a.group.floor(a.s.floor))
+	}
+	return p, true
+}
+
+// candidates returns the members that might serve a read.
+func (a *attempt) candidates() []routing.Candidate {
+	relay := a.s.relay
+	authority, err := a.gate.Authority()
+	var candidates []routing.Candidate
+	for _, m := range relay.snapshot().ByGroup[a.route.Group] {
+		up := relay.upstreams.get(m.ID)
+		if up == nil {
+			continue
+		}
+		c := up.view(a.now())
+		if err == nil && m.ID == authority.Primary {
+			c.Primary = true
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+func (a *attempt) tryOne(c routing.Candidate, required group.Position, waitUntil time.Duration, others bool) (statement.Answer, outcome) {
+	if c.Primary {
+		return a.tryPrimary(waitUntil)
+	}
+	up := a.s.relay.upstreams.get(c.ID)
+	if up == nil {
+		return statement.Answer{}, noRoom
+	}
+	timeout := a.deadline
+	if others {
+		timeout = min(timeout, a.now()+max(minReadTimeout, time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
+	}
+	return a.tryUnder(context.Background(), up, nil, nil, required, waitUntil, timeout)
+}
+
+// tryPrimary offers the statement to the primary, under a pass.
+func (a *attempt) tryPrimary(waitUntil time.Duration) (statement.Answer, outcome) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	breaker := &breaker{cancel: cancel}
+	pass, err := a.gate.Enter(breaker.trip)
+	if err != nil {
+		a.why = err.Error()
+		return statement.Answer{}, noRoom
+	}
+	up := a.s.relay.upstreams.get(pass.Primary)
+	if up == nil {
+		pass.Done()
+		a.why = "the primary's entry is gone"
+		return statement.Answer{}, noRoom
+	}
+	answer, out := a.tryUnder(ctx, up, pass, breaker, group.Position{}, waitUntil, a.deadline)
+	if a.s.tx == nil || a.s.tx.pass != pass {
+		pass.Done()
+	}
+	return answer, out
+}
+
+// tryUnder has one member run the statement.
+func (a *attempt) tryUnder(ctx context.Context, up *upstream, pass *lead.Pass, b *breaker, after group.Position, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
+	relay := a.s.relay
+	lease, err := up.pool.Acquire(ctx, pool.Request{
+		Service:  a.route.Name,
+		Weight:   max(1, weightOfFirst>>min(a.route.Priority, 4)),
+		Write:    !a.reads,
+		Deadline: max(waitUntil, a.now()),
+	}, func(c *member.Shared) int { return c.Match(a.s.values) })
+	if err != nil {
+		a.noteNoRoom(up, err)
+		return statement.Answer{}, noRoom
+	}
+	held := &hold{lease: lease, breaker: b}
+	if !b.guard(lease.Conn) {
+		held.release()
+		a.why = "the primary is being changed"
+		return statement.Answer{}, noRoom
+	}
+	if err := lease.Conn.Prepare(a.s.values, a.needed); err != nil {
+		held.release()
+		up.noteMiss(a.now())
+		a.why = err.Error()
+		return statement.Answer{}, noRoom
+	}
+	asked := a.now()
+	answer, err := lease.Conn.Run(request(a.st, a.needed, after, relay.wall(timeout)))
+	if err != nil {
+		held.release()
+		up.noteMiss(a.now())
+		return a.lostAnswer(up, err)
+	}
+	relay.noteAnswer(up, a.group, pass, asked, answer)
+	a.offered = true
+	if answer.Err != nil && answer.Err.Code.NotRun() && answer.Err.Code != statement.Malformed {
+		return a.refusedBy(up, held, answer)
+	}
+	return a.settle(up, held, pass, answer)
+}
+
+// noteNoRoom records why no connection could be had.
+func (a *attempt) noteNoRoom(up *upstream, err error) {
+	a.why = "member " + up.member.ID + ": " + err.Error()
+	var refusal *statement.Error
+	switch {
+	case errors.Is(err, connpool.ErrDeadline), errors.Is(err, connpool.ErrQueueFull),
+		errors.Is(err, connpool.ErrClosed), errors.Is(err, connpool.ErrBackoff),
+		errors.Is(err, context.Canceled), errors.As(err, &refusal):
+		return
+	}
+	up.noteMiss(a.now())
+}
+
+// lostAnswer decides about a statement whose answer did not arrive. What cannot
+// have changed anything may run again: a read, and a transaction's beginning.
+func (a *attempt) lostAnswer(up *upstream, err error) (statement.Answer, outcome) {
+	a.s.relay.logLost(a.s, a.st, up.member.ID, err)
+	a.why = err.Error()
+	if a.reads || a.st.Kind == statement.Begin {
+		return statement.Answer{}, notRun
+	}
+	return statement.Answer{}, unknown
+}
+
+// refusedBy handles a member's word that it did not run the statement.
+func (a *attempt) refusedBy(up *upstream, held *hold, answer statement.Answer) (statement.Answer, outcome) {
+	held.release()
+	a.why = "member " + up.member.ID + ": " + answer.Err.Error()
+	switch answer.Err.Code {
+	case statement.Lagging:
+		up.noteLagging(a.now(), answer.Position)
+	case statement.ReadOnly, statement.Misrouted:
+		up.noteMiss(a.now())
+	}
+	return statement.Answer{}, notRun
+}
+
+// settle passes an answer on. A transaction keeps its connection.
+func (a *attempt) settle(up *upstream, held *hold, pass *lead.Pass, answer statement.Answer) (statement.Answer, outcome) {
+	if answer.State != statement.Idle {
+		a.s.tx = &transaction{up: up, held: held, pass: pass, group: a.group, route: a.route}
+		return answer, served
+	}
+	held.release()
+	if a.reads || answer.Err != nil {
+		return answer, served
+	}
+	if !pass.Valid() {
+		a.why = "the primary was replaced before the write could be acknowledged"
+		return statement.Answer{}, unknown
+	}
+	a.s.floor = group.Max(a.s.floor, answer.Position)
+	return answer, served
+}
+
+// refuse gives the statement up. Nothing of it has run.
+func (a *attempt) refuse() statement.Answer {
+	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", a.why)
+	answer.Err.RetryAfter = comeBack
+	return answer
+}
+
+func (a *attempt) giveUpUnknown() statement.Answer {
+	return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %s", a.why)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Relay is what the sessions of an instance share. It is safe for concurrent use.
+type Relay struct {
+	started   time.Time
+	topology  func() *topology.Snapshot
+	upstreams *Upstreams
+	log       *logrus.Entry
+	set       *metrics.Set
+
+	mu    sync.Mutex // guards gates
+	gates map[string]*lead.Gate
+}
+
+// New returns a relay whose times count from started, on the steady clock.
+func New(started time.Time, topology func() *topology.Snapshot, upstreams *Upstreams, log *logrus.Entry, set *metrics.Set) *Relay {
+	return &Relay{
+		started: started, topology: topology, upstreams: upstreams, log: log, set: set,
+		gates: make(map[string]*lead.Gate),
+	}
+}
+
+// Gate returns the gate of a group's primary.
+func (r *Relay) Gate(group string) *lead.Gate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.gates[group]
+	if g == nil {
+		g = lead.NewGate(r.now)
+		r.gates[group] = g
+	}
+	return g
+}
+
+// Gates calls f with every group's gate.
+func (r *Relay) Gates(f func(group string, g *lead.Gate)) {
+	r.mu.Lock()
+	gates := make(map[string]*lead.Gate, len(r.gates))
+	for group, g := range r.gates {
+		gates[group] = g
+	}
+	r.mu.Unlock()
+	for group, g := range gates {
+		f(group, g)
+	}
+}
+
+func (r *Relay) now() time.Duration { return time.Since(r.started) }
+
+// wall turns a time of the relay into one for deadlines. It keeps the steady clock.
+func (r *Relay) wall(at time.Duration) time.Time { return r.started.Add(at) }
+
+func (r *Relay) snapshot() *topology.Snapshot { return r.topology() }
+
+// noteAnswer takes in what an answer tells of its member. Under a pass the
+// member is the primary, and its position is a sample.
+func (r *Relay) noteAnswer(up *upstream, g *groupState, pass *lead.Pass, asked time.Duration, answer statement.Answer) {
+	up.noteAnswer(r.now(), answer.Position)
+	if pass != nil && pass.Covers(answer.Position) && pass.Valid() {
+		g.note(asked, answer.Position)
+	}
+}
+
+// observe counts and logs the end of a first statement.
+func (r *Relay) observe(a *attempt, answer statement.Answer) {
+	outcome := "ok"
+	if answer.Err != nil {
+		outcome = answer.Err.Code.String()
+	}
+	took := r.now() - a.arrived
+	r.set.GetOrCreateCounter(`stackspindle_statements_total{outcome="` + outcome + `"}`).Inc()
+	r.set.GetOrCreateHistogram("stackspindle_statement_seconds").Update(took.Seconds())
+	if answer.Err == nil {
+		return
+	}
+	authority, err := a.gate.Authority()
+	r.log.WithFields(logrus.Fields{
+		"request": a.st.ID, "database": a.route.Database, "group": a.route.Group, "config_version": r.snapshot().Version,
+		"outcome": outcome, "detail": answer.Err.Detail, "took_ms": took.Milliseconds(), "offered": a.offered, "rounds": a.tries,
+		"primary": authority.Primary, "record": authority.Revision, "no_primary": err, "read": a.reads,
+	}).Info("relay: a statement did not succeed")
+}
+
+// logLost records a statement whose answer did not arrive.
+func (r *Relay) logLost(s *session, st statement.Statement, id string, cause error) {
+	r.set.GetOrCreateCounter("stackspindle_lost_answers_total").Inc()
+	r.log.WithFields(logrus.Fields{"request": st.ID, "database": s.database, "member": id}).WithError(cause).
+		Info("relay: an answer did not arrive")
+}
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// prepared is a statement that the session has named.
+type prepared struct {
+	writes bool
+	shape  string
+}
+
+// session is what belongs to one caller. It is used by one goroutine.
+type session struct {
+	relay    *Relay
+	database string
+	values   map[string]string
+	names    map[string]prepared
+	floor    group.Position // of the session's last acknowledged commit
+	state    statement.State
+	tx       *transaction // nil outside one, and in one that was lost
+	lost     string       // why the open transaction is gone; empty: it is not
+}
+
+// transaction is an open transaction on a member's connection.
+type transaction struct {
+	up    *upstream
+	held  *hold
+	pass  *lead.Pass // nil on a replica
+	group *groupState
+	route topology.Route
+	wrote bool
+}
+
+func newSession(r *Relay, database string) *session {
+	return &session{
+		relay:    r,
+		database: database,
+		values:   make(map[string]string),
+		names:    make(map[string]prepared),
+		state:    statement.Idle,
+	}
+}
+
+// handle returns the answer to a statement that arrived at a time.
+func (s *session) handle(st statement.Statement, arrived time.Duration) statement.Answer {
+	answer := s.answer(st, arrived)
+	s.state = answer.State
+	return answer
+}
+
+func (s *session) answer(st statement.Statement, arrived time.Duration) statement.Answer {
+	ends := st.Kind == statement.Commit || st.Kind == statement.Rollback
+	switch {
+	case s.lost != "":
+		return s.afterLoss(ends)
+	case s.state == statement.Failed && !ends:
+		return statement.Failure(s.state, statement.Malformed, "the transaction has failed; only its end is accepted")
+	case st.Kind == statement.Set:
+		s.values[st.Name] = st.Value
+		return statement.Done(s.state)
+	case st.Kind == statement.Prepare:
+		s.names[st.Name] = prepared{writes: st.Writes, shape: st.Shape}
+		return statement.Done(s.state)
+	case st.Kind == statement.Close:
+		delete(s.names, st.Name)
+		return statement.Done(s.state)
+	case s.tx != nil:
+		return s.continueTx(st, arrived)
+	case ends:
+		return statement.Failure(statement.Idle, statement.Malformed, "no transaction is open")
+	}
+	return s.first(st, arrived)
+}
+
+// afterLoss tells the caller that its transaction is gone. Nothing of it is kept,
+// since its end was never sent.
+func (s *session) afterLoss(ends bool) statement.Answer {
+	reason := s.lost
+	s.lost = ""
+	if ends && s.state == statement.Failed {
+		return statement.Done(statement.Idle)
+	}
+	return statement.Failure(statement.Idle, statement.Aborted, "%s", reason)
+}
+
+// needed returns what must be prepared at a member before the statement runs.
+func (s *session) needed(st statement.Statement) (*member.Prepared, bool) {
+	if st.Kind != statement.Execute {
+		return nil, true
+	}
+	p, ok := s.names[st.Name]
+	if !ok {
+		return nil, false
+	}
+	return &member.Prepared{Name: member.PreparedName(p.writes, p.shape), Writes: p.writes, Shape: p.shape}, true
+}
+
+// reads reports whether a first statement only reads.
+func (s *session) reads(st statement.Statement) bool {
+	switch st.Kind {
+	case statement.Read, statement.BeginRead:
+		return true
+	case statement.Execute:
+		return !s.names[st.Name].writes
+	}
+	return false
+}
+
+// request returns the request that has a member run the statement.
+func request(st statement.Statement, needed *member.Prepared, after group.Position, deadline time.Time) member.Request {
+	req := member.Request{Statement: st, After: after, Deadline: deadline}
+	if needed != nil {
+		req.Name = needed.Name
+	}
+	return req
+}
+
+// busyPause is the pause before a statement of an open transaction, which its
+// member had no room for, is sent again.
+const busyPause = 5 * time.Millisecond
+
+// continueTx runs a further statement of the open transaction.
+func (s *session) continueTx(st statement.Statement, arrived time.Duration) statement.Answer {
+	needed, known := s.needed(st)
+	if !known {
+		return statement.Failure(s.state, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
+	}
+	tx, deadline := s.tx, s.relay.wall(arrived+s.tx.route.Timeout)
+	for {
+		if err := tx.held.lease.Conn.Prepare(s.values, needed); err != nil {
+			return s.loseTx(st, err, false)
+		}
+		asked := s.relay.now()
+		answer, err := tx.held.lease.Conn.Run(request(st, needed, group.Position{}, deadline))
+		if err != nil {
+			return s.loseTx(st, err, true)
+		}
+		s.relay.noteAnswer(tx.up, tx.group, tx.pass, asked, answer)
+		if retriableInTx(answer) && time.Now().Add(busyPause).Before(deadline) {
+			time.Sleep(busyPause)
+			continue
+		}
+		return s.settleTx(st, answer)
+	}
+}
+
+// retriableInTx reports whether a statement of a transaction did not run and may
+// be sent again, while the transaction goes on.
+func retriableInTx(a statement.Answer) bool {
+	if a.Err == nil || a.State != statement.InTransaction {
+		return false
+	}
+	return a.Err.Code == statement.Busy || a.Err.Code == statement.Unprepared
+}
+
+// settleTx passes an answer on and lets go of the connection at the end.
+func (s *session) settleTx(st statement.Statement, answer statement.Answer) statement.Answer {
+	tx := s.tx
+	if answer.Err == nil && (st.Kind == statement.Write || st.Kind == statement.Execute && s.names[st.Name].writes) {
+		tx.wrote = true
+	}
+	if answer.State != statement.Idle {
+		return answer
+	}
+	valid := tx.pass == nil || tx.pass.Valid()
+	s.endTx()
+	if st.Kind != statement.Commit || answer.Err != nil {
+		return answer
+	}
+	if tx.wrote {
+		if !valid {
+			return statement.Failure(statement.Idle, statement.Unknown, "the primary was replaced before the commit could be acknowledged")
+		}
+		s.floor = group.Max(s.floor, answer.Position)
+	}
+	return answer
+}
+
+// loseTx ends a transaction whose connection cannot be used any more.
+func (s *session) loseTx(st statement.Statement, cause error, sent bool) statement.Answer {
+	tx := s.tx
+	s.relay.logLost(s, st, tx.up.member.ID, cause)
+	if sent && errors.Is(cause, member.ErrBroken) {
+		tx.up.noteMiss(s.relay.now())
+	}
+	s.endTx()
+	if sent && st.Kind == statement.Commit && tx.wrote {
+		return statement.Failure(statement.Idle, statement.Unknown, "the answer to the commit did not arrive: %v", cause)
+	}
+	return statement.Failure(statement.Idle, statement.Aborted, "the connection to the member was lost: %v", cause)
+}
+
+// endTx returns the transaction's connection. What is still open on it is rolled
+// back, or the connection is closed.
+func (s *session) endTx() {
+	if s.tx == nil {
+		return
+	}
+	s.tx.held.release()
+	if s.tx.pass != nil {
+		s.tx.pass.Done()
+	}
+	s.tx = nil
+}
+
+// abandonTx rolls the open transaction back although its caller has not asked
+// for that. The caller hears of it with its next statement.
+func (s *session) abandonTx(reason string) {
+	if s.tx == nil {
+		return
+	}
+	s.endTx()
+	s.lost = reason
+}
--- /dev/null
+++ b/internal/relay/upstreams.go
@@ -0,0 +1,246 @@
+// Package relay serves the statements of callers: it keeps what belongs to a
+// session, chooses a member for each statement or transaction, and has it run
+// on a connection that all sessions of the instance share.
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/connpool"
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/pool"
+	"github.com/stackspindle/stackspindle/internal/routing"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Settings of the pools.
+const (
+	concurrentDials = 2                      // a connection that opens takes a slot of the member
+	dialTimeout     = 400 * time.Millisecond // 12 ms on the sheets, behind a full queue more
+	minDialBackoff  = 50 * time.Millisecond  // refused connections are priced like served ones
+	maxDialBackoff  = time.Second
+	maxQueue        = 64 // requests of one route that wait for a connection of one member
+)
+
+// Samples of a primary's log, from which the position that a bounded read must
+// see is taken. They reach back further than any route's staleness is used for.
+const (
+	sampleSpacing = 20 * time.Millisecond
+	sampleCount   = 256
+)
+
+// upstream is one member with its connections and what was seen of it.
+type upstream struct {
+	member topology.Member
+	pool   *connpool.Pool[*member.Shared]
+
+	mu       sync.Mutex // guards the rest
+	health   member.Health
+	position group.Position // end of its log, as its answers told
+	lagUntil time.Duration  // before which a read that it could not serve is not tried again
+}
+
+// groupState is what the instance has seen of one group.
+type groupState struct {
+	mu      sync.Mutex // guards samples and term
+	term    uint64
+	samples *routing.Samples
+}
+
+// Upstreams holds the members of all groups. It is safe for concurrent use.
+type Upstreams struct {
+	dialer member.Dialer
+	now    func() time.Duration
+
+	mu      sync.Mutex // guards the maps
+	members map[string]*upstream
+	groups  map[string]*groupState
+}
+
+// NewUpstreams returns an empty set.
+func NewUpstreams(dialer member.Dialer, now func() time.Duration) *Upstreams {
+	return &Upstreams{
+		dialer:  dialer,
+		now:     now,
+		members: make(map[string]*upstream),
+		groups:  make(map[string]*groupState),
+	}
+}
+
+// Update takes in the members as they are now. instances is how many share each
+// member's connections.
+func (u *Upstreams) Update(snap *topology.Snapshot, instances int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, up := range u.members {
+		if now, ok := snap.Members[id]; !ok || now.Address != up.member.Address {
+			up.pool.Close()
+			delete(u.members, id)
+		}
+	}
+	for id, m := range snap.Members {
+		capacity := Share(snap.Groups[m.Group].MaxConnections, instances)
+		up := u.members[id]
+		if up == nil {
+			u.members[id] = u.newUpstream(m, capacity)
+			continue
+		}
+		up.pool.SetCapacity(capacity)
+		up.mu.Lock()
+		up.member = m
+		up.mu.Unlock()
+	}
+}
+
+// Share returns how many of a member's connections one instance may use. Some
+// stay free for questions about the member's state and for the connections of
+// instances that have just died.
+func Share(maxConnections, instances int) int {
+	const reserved = 2
+	return max(1, (maxConnections-reserved)/max(1, instances))
+}
+
+func (u *Upstreams) newUpstream(m topology.Member, capacity int) *upstream {
+	up := &upstream{member: m}
+	cfg := connpool.Config{
+		Queue:       pool.Config{Capacity: capacity, MaxQueue: maxQueue},
+		Dials:       concurrentDials,
+		DialTimeout: dialTimeout,
+		MinBackoff:  minDialBackoff,
+		MaxBackoff:  maxDialBackoff,
+	}
+	up.pool = connpool.New(cfg, func(ctx context.Context) (*member.Shared, error) {
+		conn, err := u.dialer.Dial(ctx, m)
+		if err != nil {
+			return nil, err
+		}
+		return member.NewShared(conn), nil
+	}, u.now)
+	return up
+}
+
+func (u *Upstreams) get(id string) *upstream {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.members[id]
+}
+
+func (u *Upstreams) group(name string) *groupState {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	g := u.groups[name]
+	if g == nil {
+		g = &groupState{samples: routing.NewSamples(sampleCount, sampleSpacing)}
+		u.groups[name] = g
+	}
+	return g
+}
+
+// Heard returns how long ago a member answered.
+func (u *Upstreams) Heard(id string) (time.Duration, bool) {
+	up := u.get(id)
+	if up == nil {
+		return 0, false
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.health.SinceAnswer(u.now())
+}
+
+// NoteAnswer records that a member answered.
+func (u *Upstreams) NoteAnswer(id string) {
+	if up := u.get(id); up != nil {
+		up.noteAnswer(u.now(), group.Position{})
+	}
+}
+
+// Close breaks all connections.
+func (u *Upstreams) Close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, up := range u.members {
+		up.pool.Close()
+	}
+}
+
+func (up *upstream) noteAnswer(now time.Duration, p group.Position) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.health.Answered(now)
+	if !p.IsZero() {
+		up.position = p
+	}
+}
+
+func (up *upstream) noteMiss(now time.Duration) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.health.Missed(now)
+}
+
+// noteLagging records that the member could not serve a read for want of log.
+func (up *upstream) noteLagging(now time.Duration, p group.Position) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.health.Answered(now)
+	up.position = p
+	up.lagUntil = now + lagPause
+}
+
+// lagPause is for how long a member that was found lagging is not tried again.
+// Each try costs a round trip of up to 2.8 ms.
+const lagPause = 15 * time.Millisecond
+
+// view returns what routing needs to know of the member.
+func (up *upstream) view(now time.Duration) routing.Candidate {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return routing.Candidate{
+		ID:       up.member.ID,
+		Draining: up.member.Draining,
+		Usable:   up.health.Usable(now),
+		Lagging:  now < up.lagUntil,
+		Position: up.position,
+		Load:     up.pool.Load(),
+	}
+}
+
+// note takes a sample of the primary's log: everything acknowledged before the
+// question was asked lies at or below the position.
+func (g *groupState) note(asked time.Duration, p group.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Term != g.term {
+		if p.Term < g.term {
+			return
+		}
+		// The log of a new term: what was sampled in the old one may lie beyond it.
+		g.term = p.Term
+		g.samples.Reset()
+	}
+	if newest, ok := g.samples.Newest(); ok && asked < newest {
+		return // answers overtake one another; the newer question says more
+	}
+	g.samples.Add(asked, p)
+}
+
+// required returns a position that holds everything acknowledged up to a time.
+func (g *groupState) required(at time.Duration) (group.Position, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.samples.RequiredAt(at)
+}
+
+// floor translates a session's floor into the current term: commits beyond the
+// start of a new term are gone, and those before it are in every log of the term.
+func (g *groupState) floor(p group.Position) group.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Term < g.term {
+		return group.Position{}
+	}
+	return p
+}
--- a/internal/routing/samples.go
+++ b/internal/routing/samples.go
@@ -91,3 +91,14 @@
 	}
 	return now - s.ring[s.start].at
 }
+
+// Reset forgets all samples, when the log that they were taken of is another now.
+func (s *Samples) Reset() { s.start, s.count = 0, 0 }
+
+// Newest returns the time of the newest sample.
+func (s *Samples) Newest() (time.Duration, bool) {
+	if s.count == 0 {
+		return 0, false
+	}
+	return s.ring[(s.start+s.count-1)%len(s.ring)].at, true
+}
--- /dev/null
+++ b/internal/topology/topology.go
@@ -0,0 +1,161 @@
+// Package topology is the fleet's picture of its surroundings: the routes in
+// force, the members of each database group, and the instances. State takes in
+// changes as the store reports them and yields immutable snapshots. The package
+// has no I/O, clock or goroutine.
+package topology
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Consistency is what the reads of a route must see.
+type Consistency int
+
+// The kinds of consistency.
+const (
+	Strict           Consistency = iota // everything acknowledged
+	BoundedStaleness                    // everything acknowledged before a bounded time
+	ReadYourWrites                      // the same, and the session's own work
+)
+
+// Route leads from a database's name to its group.
+type Route struct {
+	Name             string
+	Database         string
+	Group            string
+	Consistency      Consistency
+	MaxStaleness     time.Duration // for all but Strict
+	Timeout          time.Duration // of one statement
+	LatencyObjective time.Duration // of a whole operation
+	Priority         int           // 0 ranks highest
+}
+
+// Group is a database group as the operators declare it.
+type Group struct {
+	Name           string
+	MaxConnections int // a member takes from all instances together
+	SyncReplicas   int // replicas that must have received a commit before it is acknowledged
+}
+
+// Config is the operators' configuration as a whole.
+type Config struct {
+	Version           int64
+	Routes            []Route
+	Groups            []Group
+	IdleInTransaction time.Duration // after which a resting transaction may be ended; 0: never
+}
+
+// Member is one upstream as it describes itself.
+type Member struct {
+	ID         string
+	Group      string
+	Address    string
+	DataCentre string
+	Draining   bool // it leaves: no new work
+	Primary    bool // it believes that it leads
+	Slots      int  // statements that it runs at once
+}
+
+// Snapshot is the picture at one moment. It is not changed after it was made.
+type Snapshot struct {
+	Version   int64 // of the configuration, 0: none yet
+	Config    Config
+	Databases map[string]Route
+	Groups    map[string]Group
+	Members   map[string]Member   // by ID, those that lapsed a moment ago included
+	ByGroup   map[string][]Member // by ID in order
+}
+
+// State collects changes. It is not safe for concurrent use.
+type State struct {
+	grace   time.Duration
+	config  Config
+	members map[string]Member
+	lapsed  map[string]time.Duration // when the entry vanished, by ID
+}
+
+// New returns an empty picture. A member whose entry has vanished is still used
+// for grace, since entries also vanish while the store is away.
+func New(grace time.Duration) *State {
+	return &State{grace: grace, members: make(map[string]Member), lapsed: make(map[string]time.Duration)}
+}
+
+// SetConfig takes in a configuration. An older one than in force is left out,
+// and false is returned.
+func (s *State) SetConfig(c Config) bool {
+	if c.Version <= s.config.Version {
+		return false
+	}
+	s.config = c
+	return true
+}
+
+// SetMember takes in a member's entry, and reports whether it says anything new.
+func (s *State) SetMember(m Member) bool {
+	_, lapsed := s.lapsed[m.ID]
+	changed := lapsed || s.members[m.ID] != m
+	s.members[m.ID] = m
+	delete(s.lapsed, m.ID)
+	return changed
+}
+
+// DropMember notes that a member's entry has vanished.
+func (s *State) DropMember(now time.Duration, id string) {
+	if _, known := s.members[id]; !known {
+		return
+	}
+	if _, noted := s.lapsed[id]; !noted {
+		s.lapsed[id] = now
+	}
+}
+
+// KeepMembers drops all members but those named, after the store was listed anew.
+func (s *State) KeepMembers(now time.Duration, present map[string]bool) {
+	for id := range s.members {
+		if !present[id] {
+			s.DropMember(now, id)
+		}
+	}
+}
+
+// Expire forgets members whose entries have been missing for long, and returns
+// whether any was.
+func (s *State) Expire(now time.Duration) bool {
+	changed := false
+	for id, since := range s.lapsed {
+		if now-since >= s.grace {
+			delete(s.members, id)
+			delete(s.lapsed, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Snapshot returns the present picture.
+func (s *State) Snapshot() *Snapshot {
+	snap := &Snapshot{
+		Version:   s.config.Version,
+		Config:    s.config,
+		Databases: make(map[string]Route, len(s.config.Routes)),
+		Groups:    make(map[string]Group, len(s.config.Groups)),
+		Members:   make(map[string]Member, len(s.members)),
+		ByGroup:   make(map[string][]Member),
+	}
+	for _, r := range s.config.Routes {
+		snap.Databases[r.Database] = r
+	}
+	for _, g := range s.config.Groups {
+		snap.Groups[g.Name] = g
+	}
+	for id, m := range s.members {
+		snap.Members[id] = m
+		snap.ByGroup[m.Group] = append(snap.ByGroup[m.Group], m)
+	}
+	for _, members := range snap.ByGroup {
+		slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return snap
+}
