--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,277 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
+	"github.com/stackspindle/stackspindle/internal/standin/memstore"
+)
+
+func TestStatementsOfACalmDay(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.call(0, "own")
+	c.must("SET colour blue", "I")
+	c.must("PREPARE p WRITE shape1", "I")
+	c.must("EXECUTE p 7 data", "I")
+	c.must("BEGIN", "T")
+	c.must("WRITE 8 data", "T")
+	c.must("READ 8", "T")
+	c.must("COMMIT", "I")
+	c.must("BEGIN READ", "T")
+	c.must("READ 8", "T")
+	c.must("ROLLBACK", "I")
+	line, state := c.query("READ 8")
+	must.Eq(t, "I", state)
+	must.StrHasPrefix(t, "COMPLETE", line)
+	must.Len(t, 2, f.group.Log())
+	for _, text := range f.group.Ran("m1") {
+		must.StrContains(t, text, "colour=blue")
+	}
+}
+
+func TestFailedRequestsOfCallers(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.call(0, "own")
+	for text, code := range map[string]string{
+		"EXECUTE unknown 1":  "ERROR NOSTMT",
+		"COMMIT":             "ERROR MALFORMED",
+		"AFTER 1.1 READ x":   "ERROR MALFORMED",
+		"STATUS":             "ERROR MALFORMED",
+		"PREPARE p SIDEWAYS": "ERROR MALFORMED",
+	} {
+		line, state := c.query(text)
+		must.StrHasPrefix(t, code, line, must.Sprint(text))
+		must.Eq(t, "I", state)
+	}
+	c.must("READ 1", "I")
+}
+
+func TestSessionValuesDoNotMix(t *testing.T) {
+	f := newFleet(t, 1)
+	blue, plain := f.call(0, "strict"), f.call(0, "strict")
+	blue.must("SET colour blue", "I")
+	for range 5 {
+		blue.must("READ blue", "I")
+		plain.must("READ plain", "I")
+	}
+	for _, text := range f.group.Ran("m1") {
+		if strings.HasPrefix(text, "READ plain") {
+			must.StrNotContains(t, text, "colour")
+		} else {
+			must.StrContains(t, text, "colour=blue")
+		}
+	}
+}
+
+func TestDeadPrimaryIsReplaced(t *testing.T) {
+	for name, reach := range map[string]membergroup.Reach{"refuses": membergroup.Dead, "silent": membergroup.Silent} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			c := f.call(0, "own")
+			c.writeUntilDone("before")
+			f.group.SetReach("m1", reach)
+			c.writeUntilDone("after")
+			must.NotEq(t, "m1", f.group.Primary())
+			f.eventually("all use the new primary", func() bool { return f.allUse(f.group.Primary()) })
+			must.Len(t, 1, f.group.Promotions())
+		})
+	}
+}
+
+func TestDrainingPrimaryIsReplacedWithoutLoss(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.call(0, "own")
+	c.writeUntilDone("before")
+	c.must("BEGIN", "T")
+	c.must("WRITE 1 x", "T")
+	entry := f.group.Entry("m1")
+	entry.Draining = true
+	f.store.Put("members/m1", encodeJSON(t, entry))
+	c.must("COMMIT", "I")
+	f.eventually("the primary is replaced", func() bool { return f.group.Primary() != "m1" })
+	c.writeUntilDone("after")
+	must.Len(t, 3, f.group.Log())
+}
+
+func TestTrafficGoesOnWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, client := range f.clients {
+		client.Set(memstore.Faults{Refuse: true})
+	}
+	for n := range f.instances {
+		c := f.call(n, "own")
+		c.must("WRITE 1 x", "I")
+		c.must("READ 1", "I")
+	}
+}
+
+// The leader alone is turned away, its lease ends, and the primary dies: another
+// instance must take over, and the fencing token must rise.
+func TestLeaderTurnedAwayByTheStore(t *testing.T) {
+	f := newFleet(t, 3)
+	first := f.leader()
+	must.NonNegative(t, first)
+	f.clients[first].Set(memstore.Faults{Refuse: true})
+	f.store.EndLease(leaseOf(f.instances[first]))
+	f.group.SetReach("m1", membergroup.Dead)
+	f.call(first, "own").writeUntilDone("after")
+	promotions := f.group.Promotions()
+	must.Len(t, 1, promotions)
+	must.NotEq(t, f.instances[first].self.Name, promotions[0].Instance)
+	must.Greater(t, uint64(1), promotions[0].FencingToken)
+}
+
+// Processes that start while members' entries are missing from the store, because
+// these lapsed with it, wait for the entries instead of replacing the primary.
+func TestLapsedEntriesAreAwaited(t *testing.T) {
+	f := newFleet(t, 2)
+	f.call(0, "own").writeUntilDone("before")
+	for n, inst := range f.instances {
+		f.store.EndLease(leaseOf(inst))
+		inst.close()
+		f.clients[n].Set(memstore.Faults{Refuse: true})
+	}
+	for _, id := range testMembers {
+		f.store.Delete("members/" + id)
+	}
+	f.start("instance-0")
+	f.start("instance-1")
+	f.eventually("an instance leads", func() bool { return f.leader() >= 0 })
+	time.Sleep(absenceOfEntries)
+	for _, id := range testMembers {
+		f.putMember(id)
+	}
+	f.call(2, "own").writeUntilDone("after")
+	must.SliceEmpty(t, f.group.Promotions())
+	record, _ := f.instances[2].relay.Gate(testGroup).Record()
+	must.Nil(t, record.Change)
+}
+
+// absenceOfEntries is how long the entries are missing in the test: long enough
+// for several looks of the leader, less than the two seconds that are promised.
+const absenceOfEntries = 600 * time.Millisecond
+
+func TestWriteInDoubtIsNotRepeated(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.call(0, "strict")
+	c.must("WRITE 0 x", "I")
+	f.group.LoseAnswers("m1", 1)
+	line, state := c.query("WRITE 1 x")
+	must.StrHasPrefix(t, "ERROR INDOUBT", line)
+	must.Eq(t, "I", state)
+	must.Len(t, 2, f.group.Log())
+}
+
+func TestLostReadRunsElsewhere(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.call(0, "own")
+	c.must("WRITE 0 x", "I")
+	for _, id := range testMembers[1:] {
+		f.group.LoseAnswers(id, 1)
+	}
+	c.must("READ 0", "I")
+}
+
+// A transaction whose connection is lost has kept nothing, and its caller hears so.
+func TestTransactionLostWithItsConnection(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.call(0, "strict")
+	c.must("BEGIN", "T")
+	c.must("WRITE 0 x", "T")
+	f.group.SetReach("m1", membergroup.Dead)
+	line, state := c.query("WRITE 1 x")
+	must.StrHasPrefix(t, "ERROR ABORTED", line)
+	must.Eq(t, "I", state)
+	must.SliceEmpty(t, f.group.Log())
+}
+
+func TestReadsSeeTheSessionsOwnWrites(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.call(0, "own")
+	for _, id := range testMembers[1:] {
+		f.group.SetLagging(id, true)
+	}
+	for n := range 5 {
+		c.must("WRITE 1 x", "I")
+		lines := c.rows("READ 1")
+		must.Eq(t, []string{"ROW " + string(rune('1'+n))}, lines)
+	}
+}
+
+// The answer to the write that announces a change is lost: it is settled by
+// reading back, and the change goes through once.
+func TestLostAnswersOfTheStoreDuringAChange(t *testing.T) {
+	f := newFleet(t, 2)
+	f.call(0, "own").writeUntilDone("before")
+	for _, client := range f.clients {
+		client.Set(memstore.Faults{LoseWrites: 3})
+	}
+	f.group.SetReach("m1", membergroup.Dead)
+	f.call(1, "own").writeUntilDone("after")
+	must.Len(t, 1, f.group.Promotions())
+}
+
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	f := newFleet(t, 1)
+	f.store.Delete("members/m3")
+	f.store.Forget()
+	config := testConfig()
+	config.Version = 2
+	config.Routes = config.Routes[:1]
+	f.store.Put("config", encodeJSON(t, config))
+	f.eventually("the new configuration is in force", func() bool { return f.instances[0].topology.Load().Version == 2 })
+}
+
+func TestOlderConfigurationIsNotTaken(t *testing.T) {
+	f := newFleet(t, 1)
+	config := testConfig()
+	config.Version = 0
+	config.Routes = nil
+	f.store.Put("config", encodeJSON(t, config))
+	later := f.group.Entry("m2")
+	later.ID = "m4"
+	f.store.Put("members/m4", encodeJSON(t, later))
+	f.eventually("the later entry is seen", func() bool { return len(f.instances[0].topology.Load().Members) == 4 })
+	must.Eq(t, 1, f.instances[0].topology.Load().Version)
+}
+
+func TestPlannedStopAnswersEverything(t *testing.T) {
+	f := newFleet(t, 2)
+	c := f.call(0, "strict")
+	c.must("BEGIN", "T")
+	c.must("WRITE 1 x", "T")
+	stopped := make(chan struct{})
+	go func() {
+		f.instances[0].Stop()
+		close(stopped)
+	}()
+	f.eventually("the stop has begun", f.instances[0].stopping.Load)
+	c.must("WRITE 2 x", "T")
+	c.must("COMMIT", "I")
+	<-stopped
+	must.Len(t, 2, f.group.Log())
+	must.SliceEmpty(t, c.read())
+	f.call(1, "strict").writeUntilDone("after")
+}
+
+func leaseOf(i *Instance) kv.LeaseID { return kv.LeaseID(i.lease.Load()) }
+
+// rows returns the rows of an answer.
+func (c *testCaller) rows(text string) []string {
+	c.t.Helper()
+	c.next++
+	_, err := c.conn.Write([]byte("QUERY r" + string(rune('a'+c.next%26)) + " " + text + "\r\n"))
+	must.NoError(c.t, err)
+	var rows []string
+	for _, line := range c.read() {
+		if strings.HasPrefix(line, "ROW") {
+			rows = append(rows, line)
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/fleet/harness_test.go
@@ -0,0 +1,229 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/relay"
+	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
+	"github.com/stackspindle/stackspindle/internal/standin/memstore"
+	"github.com/stackspindle/stackspindle/internal/topology"
+	"github.com/stackspindle/stackspindle/platform"
+)
+
+// The tests' fleet has one group with three members.
+const testGroup = "orders"
+
+var testMembers = []string{"m1", "m2", "m3"}
+
+// jsonDecoder decodes entries that are the project's own types as JSON.
+type jsonDecoder struct{}
+
+func (jsonDecoder) IsConfig(key string) bool { return key == "config" }
+
+func (jsonDecoder) Config(raw []byte) (topology.Config, error) {
+	var c topology.Config
+	err := json.Unmarshal(raw, &c)
+	return c, err
+}
+
+func (jsonDecoder) MemberID(key string) (string, bool) { return strings.CutPrefix(key, "members/") }
+
+func (jsonDecoder) Member(_ string, raw []byte) (topology.Member, error) {
+	var m topology.Member
+	err := json.Unmarshal(raw, &m)
+	return m, err
+}
+
+// testFleet is a store, a group and some instances in one process.
+type testFleet struct {
+	t         *testing.T
+	store     *memstore.Store
+	group     *membergroup.Group
+	instances []*Instance
+	clients   []*memstore.Client
+}
+
+func encodeJSON(t *testing.T, v any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(v)
+	must.NoError(t, err)
+	return raw
+}
+
+func testConfig() topology.Config {
+	route := func(database string, c topology.Consistency) topology.Route {
+		return topology.Route{
+			Name: database, Database: database, Group: testGroup, Consistency: c,
+			MaxStaleness: 2 * time.Second, Timeout: 2 * time.Second, LatencyObjective: 2 * time.Second, Priority: 1,
+		}
+	}
+	return topology.Config{
+		Version: 1,
+		Routes: []topology.Route{
+			route("strict", topology.Strict), route("bounded", topology.BoundedStaleness), route("own", topology.ReadYourWrites),
+		},
+		Groups: []topology.Group{{Name: testGroup, MaxConnections: 40}},
+	}
+}
+
+// newFleet starts n instances and waits until all know the primary.
+func newFleet(t *testing.T, n int) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, store: memstore.New(), group: membergroup.New(testGroup, testMembers...)}
+	f.store.Put("config", encodeJSON(t, testConfig()))
+	for _, id := range testMembers {
+		f.putMember(id)
+	}
+	for i := range n {
+		f.start(fmt.Sprintf("instance-%d", i))
+	}
+	f.eventually("all instances know the primary", func() bool { return f.allUse("m1") })
+	return f
+}
+
+func (f *testFleet) putMember(id string) {
+	f.store.Put("members/"+id, encodeJSON(f.t, f.group.Entry(id)))
+}
+
+// start adds an instance.
+func (f *testFleet) start(name string) *Instance {
+	f.t.Helper()
+	client := f.store.Client()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	inst, err := New(Settings{
+		Name: name, CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
+		Grace: 6 * time.Second, LeaseTTL: 3 * time.Second, MaxCallers: 100,
+	}, Platform{
+		Store: client, Promoter: f.group, Dialer: f.group, Decoder: jsonDecoder{},
+		Caller: func(conn net.Conn) relay.Caller { return platform.NewCallerConn(conn) },
+		Ready:  func(ready func() bool) http.Handler { return http.NotFoundHandler() },
+	}, log)
+	must.NoError(f.t, err)
+	must.NoError(f.t, inst.Start())
+	f.t.Cleanup(inst.close)
+	f.instances = append(f.instances, inst)
+	f.clients = append(f.clients, client)
+	return inst
+}
+
+func (f *testFleet) allUse(id string) bool {
+	for _, inst := range f.instances {
+		if inst.ctx.Err() != nil {
+			continue
+		}
+		if a, err := inst.relay.Gate(testGroup).Authority(); err != nil || a.Primary != id {
+			return false
+		}
+	}
+	return true
+}
+
+// leader returns the place of the instance that leads the group, -1 for none.
+func (f *testFleet) leader() int {
+	for n, inst := range f.instances {
+		if leader, revision := inst.view.Load().Leader(testGroup); revision > 0 && leader.Incarnation == inst.self.Incarnation {
+			return n
+		}
+	}
+	return -1
+}
+
+// eventually waits for a condition, with a bound that only a fault reaches.
+func (f *testFleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for range 1500 {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("it never came about that %s", what)
+}
+
+// testCaller speaks the line protocol.
+type testCaller struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+	next int
+}
+
+// call connects a caller to an instance.
+func (f *testFleet) call(n int, database string) *testCaller {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.instances[n].CallerAddr())
+	must.NoError(f.t, err)
+	f.t.Cleanup(func() { conn.Close() })
+	c := &testCaller{t: f.t, conn: conn, r: bufio.NewReader(conn)}
+	_, err = fmt.Fprintf(conn, "STARTUP %s\r\n", database)
+	must.NoError(f.t, err)
+	must.Eq(f.t, []string{"READY I -"}, c.read())
+	return c
+}
+
+// read returns the lines of one answer; none when the connection ended.
+func (c *testCaller) read() []string {
+	var lines []string
+	for {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			return lines
+		}
+		line = strings.TrimSuffix(line, "\r\n")
+		lines = append(lines, line)
+		if strings.HasPrefix(line, "READY ") {
+			return lines
+		}
+	}
+}
+
+// query runs a text and returns the words of the line before READY and the state.
+func (c *testCaller) query(text string) (line, state string) {
+	c.t.Helper()
+	c.next++
+	if _, err := fmt.Fprintf(c.conn, "QUERY id%d %s\r\n", c.next, text); err != nil {
+		return "", ""
+	}
+	lines := c.read()
+	if len(lines) < 2 {
+		return "", ""
+	}
+	fields := strings.Fields(lines[len(lines)-1])
+	return lines[len(lines)-2], fields[1]
+}
+
+func (c *testCaller) must(text, state string) {
+	c.t.Helper()
+	line, got := c.query(text)
+	must.StrHasPrefix(c.t, "COMPLETE", line, must.Sprintf("%s", text))
+	must.Eq(c.t, state, got)
+}
+
+// writeUntilDone writes until one write is acknowledged, and counts what was
+// acknowledged or left in doubt.
+func (c *testCaller) writeUntilDone(thing string) {
+	c.t.Helper()
+	for range 200 {
+		line, _ := c.query("WRITE " + thing + " x")
+		if strings.HasPrefix(line, "COMPLETE") {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatalf("no write of %s was acknowledged", thing)
+}
+
+var _ kv.Store = (*memstore.Client)(nil)
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -54,7 +54,7 @@
 	Name          string
 	DataCentre    string
 	CallerListen  string
-	PeerListen    string // also the address under which others reach the instance
+	PeerListen    string // as bound, also the address under which others reach the instance
 	ReadyListen   string
 	MetricsListen string        // empty: no metrics are served
 	Grace         time.Duration // after which the platform ends a process that was asked to stop
@@ -98,6 +98,8 @@
 	peers      *grpc.Server
 	servers    []*http.Server
 
+	callerAddr string // set by Start
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -154,6 +156,7 @@
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
+	i.callerAddr, i.self.Address = callers.Addr().String(), peers.Addr().String()
 	if err := i.serveHTTP("ready", i.settings.ReadyListen, i.platform.Ready(i.Ready)); err != nil {
 		return err
 	}
@@ -172,6 +175,9 @@
 	return nil
 }
 
+// CallerAddr returns the address on which callers are accepted.
+func (i *Instance) CallerAddr() string { return i.callerAddr }
+
 // run runs a part until it ends. That it failed is logged.
 func (i *Instance) run(part string, f func() error) {
 	i.done.Add(1)
--- /dev/null
+++ b/internal/lead/select_test.go
@@ -0,0 +1,68 @@
+package lead
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+func replica(id string, index uint64) found {
+	return found{member: topology.Member{ID: id}, status: member.Status{Term: 1, Received: group.Position{Term: 1, Index: index}}}
+}
+
+func primary(id string, term uint64) found {
+	return found{member: topology.Member{ID: id}, status: member.Status{Primary: true, Term: term, Received: group.Position{Term: term, Index: 9}}}
+}
+
+func draining(f found) found {
+	f.member.Draining = true
+	return f
+}
+
+func TestSelect(t *testing.T) {
+	base := Selection{Old: "old", Term: 1, Replicas: 2}
+	planned := base
+	planned.Planned, planned.Last = true, group.Position{Term: 1, Index: 9}
+	hurried := planned
+	hurried.Hurry = true
+	synced := base
+	synced.SyncReplicas = 1
+	for name, c := range map[string]struct {
+		answers []found
+		s       Selection
+		want    string // "" for undecided
+	}{
+		"nobody answers":                         {nil, base, ""},
+		"the furthest log":                       {[]found{replica("a", 3), replica("b", 5)}, base, "b"},
+		"not one that drains":                    {[]found{replica("a", 3), draining(replica("b", 5))}, base, "a"},
+		"promoted already":                       {[]found{replica("a", 3), primary("b", 2)}, base, "b"},
+		"the newest of two that lead":            {[]found{primary("a", 2), primary("b", 3)}, base, "b"},
+		"the old primary is well":                {[]found{replica("a", 3), primary("old", 1)}, base, "old"},
+		"the old primary drains":                 {[]found{replica("a", 3), draining(primary("old", 1))}, base, "a"},
+		"the old primary leads, but must go":     {[]found{replica("a", 9), primary("old", 1)}, planned, "a"},
+		"its log is awaited":                     {[]found{replica("a", 8), replica("old", 9)}, planned, ""},
+		"its log was awaited for long enough":    {[]found{replica("a", 8)}, hurried, "a"},
+		"one that stepped down may lead again":   {[]found{replica("a", 8), replica("old", 9)}, base, "old"},
+		"a silent replica may hold acknowledged": {[]found{replica("a", 8)}, synced, ""},
+		"all replicas were asked":                {[]found{replica("a", 8), replica("b", 7)}, synced, "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, decided := Select(c.answers, c.s)
+			must.Eq(t, c.want != "", decided)
+			must.Eq(t, c.want, got.member.ID)
+		})
+	}
+}
+
+func TestDead(t *testing.T) {
+	must.False(t, dead(1, false, silence, true, silence))
+	must.True(t, dead(refusals, false, 0, true, 0))
+	must.False(t, dead(0, true, silence-1, true, silence))
+	must.True(t, dead(0, true, silence, true, silence))
+	must.False(t, dead(0, true, 0, false, silence-1), must.Sprint("never heard: counted from the take-over"))
+	must.True(t, dead(0, true, 0, false, silence))
+}
--- /dev/null
+++ b/internal/standin/membergroup/membergroup.go
@@ -0,0 +1,410 @@
+// Package membergroup is a stand-in for database groups as the users' platform
+// runs them: members with logs and terms, of which a promotion makes one the
+// primary while the old one goes on until it is told. It implements the ports
+// member.Dialer and lead.Promoter in memory.
+package membergroup
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Reach is how a member can be reached.
+type Reach int
+
+// The ways.
+const (
+	Open   Reach = iota
+	Dead         // connections are refused, and those that were open have ended
+	Silent       // nothing is heard
+)
+
+// Write is a committed write.
+type Write struct {
+	Position group.Position
+	Member   string
+	ID       string // of the statement
+	Text     string
+}
+
+// Member is one member.
+type memberState struct {
+	id      string
+	primary bool
+	term    uint64
+	log     []Write
+	reach   Reach
+	lagging bool // receives nothing
+	lose    int  // answers to lose after the work was done
+	ran     []string
+	conns   map[*conn]struct{}
+}
+
+// Group is one group. It is safe for concurrent use.
+type Group struct {
+	name string
+
+	mu         sync.Mutex // guards all below
+	members    map[string]*memberState
+	order      []string
+	nextTerm   uint64
+	promotions []Promotion
+}
+
+// Promotion is a call that was made to promote a member.
+type Promotion struct {
+	Member       string
+	Instance     string
+	FencingToken uint64
+}
+
+// New returns a group whose first member leads.
+func New(name string, ids ...string) *Group {
+	g := &Group{name: name, members: make(map[string]*memberState), order: ids, nextTerm: 2}
+	for i, id := range ids {
+		g.members[id] = &memberState{id: id, primary: i == 0, term: 1, conns: make(map[*conn]struct{})}
+	}
+	return g
+}
+
+// Entry returns a member's entry as it would describe itself.
+func (g *Group) Entry(id string) topology.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return topology.Member{ID: id, Group: g.name, Address: id, Primary: g.members[id].primary, Slots: 3}
+}
+
+// SetReach changes how a member can be reached.
+func (g *Group) SetReach(id string, r Reach) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	m.reach = r
+	if r == Dead {
+		for c := range m.conns {
+			c.closed = true
+		}
+		clear(m.conns)
+	}
+}
+
+// SetLagging stops a replica from receiving, or lets it catch up.
+func (g *Group) SetLagging(id string, lagging bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].lagging = lagging
+	g.replicate()
+}
+
+// LoseAnswers has a member do the work of its next n statements in silence.
+func (g *Group) LoseAnswers(id string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].lose = n
+}
+
+// Primary returns the member that leads in the newest term.
+func (g *Group) Primary() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader().id
+}
+
+// Log returns the log of the primary.
+func (g *Group) Log() []Write {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Write(nil), g.leader().log...)
+}
+
+// Ran returns the texts that a member ran, configuration included.
+func (g *Group) Ran(id string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.members[id].ran...)
+}
+
+// Promotions returns the calls that were made.
+func (g *Group) Promotions() []Promotion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Promotion(nil), g.promotions...)
+}
+
+func (g *Group) leader() *memberState {
+	var leader *memberState
+	for _, id := range g.order {
+		if m := g.members[id]; m.primary && (leader == nil || leader.term < m.term) {
+			leader = m
+		}
+	}
+	if leader == nil {
+		return g.members[g.order[0]]
+	}
+	return leader
+}
+
+// replicate brings the replicas up to date. The caller holds mu.
+func (g *Group) replicate() {
+	leader := g.leader()
+	if leader.reach != Open || !leader.primary {
+		return
+	}
+	for _, m := range g.members {
+		if !m.primary && !m.lagging && m.reach == Open {
+			m.log = append([]Write(nil), leader.log...)
+			m.term = leader.term
+		}
+	}
+}
+
+// Promote implements lead.Promoter.
+func (g *Group) Promote(_ context.Context, _, id, instance string, token uint64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promotions = append(g.promotions, Promotion{Member: id, Instance: instance, FencingToken: token})
+	m := g.members[id]
+	if m == nil || m.reach == Dead {
+		return fmt.Errorf("member %s is not running", id)
+	}
+	if m.primary {
+		return nil
+	}
+	m.primary, m.term = true, g.nextTerm
+	g.nextTerm++
+	for _, other := range g.members {
+		// The old primary stops once it reaches the new one.
+		if other != m && other.primary && other.reach == Open {
+			other.primary = false
+		}
+	}
+	g.replicate()
+	return nil
+}
+
+// Dial implements member.Dialer.
+func (g *Group) Dial(ctx context.Context, m topology.Member) (member.Conn, error) {
+	g.mu.Lock()
+	state := g.members[m.ID]
+	if state == nil || state.reach == Dead {
+		g.mu.Unlock()
+		return nil, fmt.Errorf("dial %s: %w", m.ID, syscall.ECONNREFUSED)
+	}
+	if state.reach == Silent {
+		g.mu.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	defer g.mu.Unlock()
+	c := &conn{group: g, member: state, state: statement.Idle, values: make(map[string]string), names: make(map[string]member.Prepared)}
+	state.conns[c] = struct{}{}
+	return c, nil
+}
+
+// conn implements member.Conn. Its fields are guarded by the group's mu.
+type conn struct {
+	group  *Group
+	member *memberState
+	closed bool
+	state  statement.State
+	writes []Write // of the open transaction
+	reads  bool    // the transaction only reads
+	values map[string]string
+	names  map[string]member.Prepared
+}
+
+// enter locks the group for a call. An error means that the connection broke, and
+// the group is not locked.
+func (c *conn) enter(deadline time.Time) error {
+	c.group.mu.Lock()
+	if c.closed || c.member.reach == Dead {
+		c.group.mu.Unlock()
+		return fmt.Errorf("%w: closed", member.ErrBroken)
+	}
+	if c.member.reach == Silent {
+		c.group.mu.Unlock()
+		return silence(deadline)
+	}
+	return nil
+}
+
+// silence waits for the deadline, as a read from a silent far end does.
+func silence(deadline time.Time) error {
+	time.Sleep(time.Until(deadline))
+	return fmt.Errorf("%w: %w", member.ErrBroken, context.DeadlineExceeded)
+}
+
+// Run implements member.Conn.
+func (c *conn) Run(req member.Request) (statement.Answer, error) {
+	if err := c.enter(req.Deadline); err != nil {
+		return statement.Answer{}, err
+	}
+	answer := c.run(req)
+	lost := c.member.lose > 0
+	if lost {
+		c.member.lose--
+	}
+	c.group.mu.Unlock()
+	if lost {
+		return statement.Answer{}, silence(req.Deadline)
+	}
+	return answer, nil
+}
+
+func (c *conn) run(req member.Request) statement.Answer {
+	st, m := req.Statement, c.member
+	text := st.Text
+	writes := st.Kind == statement.Write
+	if st.Kind == statement.Execute {
+		prepared, ok := c.names[req.Name]
+		if !ok {
+			return c.answer(statement.Unprepared, "")
+		}
+		writes = prepared.Writes
+		text = prepared.Shape + " " + st.Args
+	}
+	if c.end().Less(req.After) {
+		return c.answer(statement.Lagging, "")
+	}
+	switch st.Kind {
+	case statement.Begin, statement.BeginRead:
+		if st.Kind == statement.Begin && !m.primary {
+			return c.answer(statement.ReadOnly, m.id)
+		}
+		c.state, c.reads, c.writes = statement.InTransaction, st.Kind == statement.BeginRead, nil
+	case statement.Commit, statement.Rollback:
+		if st.Kind == statement.Commit && c.state == statement.InTransaction {
+			if len(c.writes) > 0 && !m.primary {
+				c.state = statement.Idle
+				return c.answer(statement.ReadOnly, m.id)
+			}
+			c.commit(c.writes)
+		}
+		c.state, c.writes = statement.Idle, nil
+	default:
+		if writes && !m.primary {
+			if c.state == statement.InTransaction {
+				c.state = statement.Failed
+			}
+			return c.answer(statement.ReadOnly, m.id)
+		}
+		m.ran = append(m.ran, text+" "+fmt.Sprint(len(c.values))+" "+joined(c.values))
+		if writes {
+			w := Write{Member: m.id, ID: st.ID, Text: text}
+			if c.state == statement.InTransaction {
+				c.writes = append(c.writes, w)
+			} else {
+				c.commit([]Write{w})
+			}
+		}
+	}
+	answer := c.answer(0, "")
+	answer.Receipt = m.id + "." + st.ID
+	if !writes && (st.Kind == statement.Read || st.Kind == statement.Execute) {
+		answer.Rows = []string{fmt.Sprint(len(m.log))}
+	}
+	return answer
+}
+
+func joined(values map[string]string) string {
+	parts := make([]string, 0, len(values))
+	for name, value := range values {
+		parts = append(parts, name+"="+value)
+	}
+	return strings.Join(parts, ",")
+}
+
+func (c *conn) commit(writes []Write) {
+	for _, w := range writes {
+		w.Position = group.Position{Term: c.member.term, Index: uint64(len(c.member.log) + 1)}
+		c.member.log = append(c.member.log, w)
+	}
+	c.group.replicate()
+}
+
+// end returns the end of the member's log in its term.
+func (c *conn) end() group.Position {
+	return group.Position{Term: c.member.term, Index: uint64(len(c.member.log))}
+}
+
+func (c *conn) answer(code statement.Code, detail string) statement.Answer {
+	a := statement.Answer{State: c.state, Position: c.end()}
+	if code != 0 {
+		a.Err = &statement.Error{Code: code, Detail: detail}
+	}
+	return a
+}
+
+// Configure implements member.Conn.
+func (c *conn) Configure(deadline time.Time, reset bool, values []member.Value, prepared []member.Prepared) error {
+	if err := c.enter(deadline); err != nil {
+		return err
+	}
+	defer c.group.mu.Unlock()
+	if reset {
+		clear(c.values)
+		clear(c.names)
+	}
+	for _, v := range values {
+		c.values[v.Name] = v.Value
+	}
+	for _, p := range prepared {
+		c.names[p.Name] = p
+	}
+	return nil
+}
+
+// Rollback implements member.Conn.
+func (c *conn) Rollback(deadline time.Time) error {
+	if err := c.enter(deadline); err != nil {
+		return err
+	}
+	defer c.group.mu.Unlock()
+	c.state, c.writes = statement.Idle, nil
+	return nil
+}
+
+// Status implements member.Conn.
+func (c *conn) Status(deadline time.Time) (member.Status, error) {
+	if err := c.enter(deadline); err != nil {
+		return member.Status{}, err
+	}
+	defer c.group.mu.Unlock()
+	return member.Status{Primary: c.member.primary, Term: c.member.term, Received: c.end()}, nil
+}
+
+// StepDown implements member.Conn.
+func (c *conn) StepDown(deadline time.Time, term uint64) (member.Status, error) {
+	if err := c.enter(deadline); err != nil {
+		return member.Status{}, err
+	}
+	defer c.group.mu.Unlock()
+	if c.member.primary && c.member.term < term {
+		c.member.primary = false
+	}
+	return member.Status{Primary: c.member.primary, Term: c.member.term, Received: c.end()}, nil
+}
+
+// Silent implements member.Conn.
+func (c *conn) Silent() bool {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	return !c.closed
+}
+
+// Close implements member.Conn.
+func (c *conn) Close() {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.closed = true
+	delete(c.member.conns, c)
+}
--- /dev/null
+++ b/internal/standin/memstore/memstore.go
@@ -0,0 +1,288 @@
+// Package memstore is a stand-in for the platform's store, in memory, with the
+// faults that the platform's page names: calls that are refused, calls whose
+// answer is lost, history that is forgotten, and leases that end.
+package memstore
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+)
+
+// ErrLost is what a call gets whose answer is lost.
+var ErrLost = errors.New("memstore: the answer was lost")
+
+// Store holds the items. Leases do not run out by themselves: EndLease ends one.
+type Store struct {
+	mu        sync.Mutex // guards all below
+	revision  int64
+	compacted int64 // events up to this revision are forgotten
+	items     map[string]kv.Item
+	events    []kv.Event
+	leases    map[kv.LeaseID]bool
+	nextLease kv.LeaseID
+	changed   chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{items: make(map[string]kv.Item), leases: make(map[kv.LeaseID]bool), changed: make(chan struct{})}
+}
+
+// Put writes a key from outside, as operators and members do.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(kv.Put{Key: key, Value: value})
+	s.wake()
+}
+
+// Delete removes a key from outside.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+	s.events = nil
+	s.wake()
+}
+
+// EndLease ends a lease with its keys, as when it was not renewed.
+func (s *Store) EndLease(id kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(id)
+}
+
+func (s *Store) endLease(id kv.LeaseID) {
+	if !s.leases[id] {
+		return
+	}
+	delete(s.leases, id)
+	s.revision++
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.wake()
+}
+
+// put, remove and wake are called with mu held, after the revision was raised.
+func (s *Store) put(p kv.Put) {
+	item := kv.Item{Key: p.Key, Value: slices.Clone(p.Value), Revision: s.revision, Lease: p.Lease}
+	s.items[p.Key] = item
+	s.events = append(s.events, kv.Event{Item: item})
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	s.events = append(s.events, kv.Event{Item: kv.Item{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Faults are what goes wrong between one client and the store.
+type Faults struct {
+	Refuse     bool // every call is refused and does nothing
+	LoseWrites int  // so many writes take effect and their answer is lost
+}
+
+// Client is one instance's way to the store. It implements kv.Store.
+type Client struct {
+	store *Store
+
+	mu     sync.Mutex // guards faults
+	faults Faults
+}
+
+// Client returns a way to the store with faults of its own.
+func (s *Store) Client() *Client { return &Client{store: s} }
+
+// Set changes what goes wrong.
+func (c *Client) Set(f Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+}
+
+func (c *Client) refused() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults.Refuse {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+// loses reports whether the answer of this write is to be lost.
+func (c *Client) loses() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults.LoseWrites == 0 {
+		return false
+	}
+	c.faults.LoseWrites--
+	return true
+}
+
+// List implements kv.Store.
+func (c *Client) List(_ context.Context, prefix string) ([]kv.Item, int64, error) {
+	if err := c.refused(); err != nil {
+		return nil, 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []kv.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision, nil
+}
+
+// Watch implements kv.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		if err := c.refused(); err != nil {
+			return nil, 0, err
+		}
+		events, revision, changed, err := c.store.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, revision, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after int64) ([]kv.Event, int64, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.compacted {
+		return nil, 0, nil, kv.ErrCompacted
+	}
+	var events []kv.Event
+	for _, e := range s.events {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, s.revision, s.changed, nil
+}
+
+// Get implements kv.Store.
+func (c *Client) Get(_ context.Context, key string) (kv.Item, error) {
+	if err := c.refused(); err != nil {
+		return kv.Item{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if item, ok := c.store.items[key]; ok {
+		return item, nil
+	}
+	return kv.Item{Key: key}, nil
+}
+
+// Commit implements kv.Store.
+func (c *Client) Commit(_ context.Context, txn kv.Txn) (int64, error) {
+	if err := c.refused(); err != nil {
+		return 0, err
+	}
+	revision, err := c.store.commit(txn)
+	if c.loses() {
+		return 0, ErrLost
+	}
+	return revision, err
+}
+
+func (s *Store) commit(txn kv.Txn) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conflict := &kv.ConflictError{}
+	for _, e := range txn.Expect {
+		if s.items[e.Key].Revision != e.Revision {
+			conflict.Items = append(conflict.Items, s.items[e.Key])
+		}
+	}
+	if len(conflict.Items) > 0 {
+		return 0, conflict
+	}
+	for _, p := range txn.Puts {
+		if p.Lease != 0 && !s.leases[p.Lease] {
+			return 0, kv.ErrNoLease
+		}
+	}
+	s.revision++
+	for _, p := range txn.Puts {
+		s.put(p)
+	}
+	for _, key := range txn.Delete {
+		s.remove(key)
+	}
+	s.wake()
+	return s.revision, nil
+}
+
+// Grant implements kv.Store.
+func (c *Client) Grant(_ context.Context, ttl time.Duration) (kv.Lease, error) {
+	if err := c.refused(); err != nil {
+		return kv.Lease{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.nextLease++
+	c.store.leases[c.store.nextLease] = true
+	return kv.Lease{ID: c.store.nextLease, TTL: ttl}, nil
+}
+
+// Renew implements kv.Store.
+func (c *Client) Renew(_ context.Context, id kv.LeaseID) error {
+	if err := c.refused(); err != nil {
+		return err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if !c.store.leases[id] {
+		return kv.ErrNoLease
+	}
+	return nil
+}
+
+// Revoke implements kv.Store.
+func (c *Client) Revoke(_ context.Context, id kv.LeaseID) error {
+	if err := c.refused(); err != nil {
+		return err
+	}
+	c.store.EndLease(id)
+	return nil
+}
