Grants: the margin for drift covers clocks that are each wrong by 1%

TestLapsedEntriesAreAwaited now looks for a needless change itself; without the wait for entries it fails.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -148,8 +148,11 @@
 	}
 	f.call(2, "own").writeUntilDone("after")
 	must.SliceEmpty(t, f.group.Promotions())
-	record, _ := f.instances[2].relay.Gate(testGroup).Record()
-	must.Nil(t, record.Change)
+	for _, inst := range f.instances {
+		for _, e := range inst.ring.Since(0) {
+			must.NotEq(t, "change", e.Kind, must.Sprint(e.Text))
+		}
+	}
 }
 
 // absenceOfEntries is how long the entries are missing in the test: long enough
--- a/internal/lead/grant.go
+++ b/internal/lead/grant.go
@@ -13,9 +13,9 @@
 // primary wait longer for an instance that cannot be reached.
 const GrantValidity = 15 * time.Second
 
-// clockDrift is by how much two steady clocks may differ over GrantValidity: 2%,
-// twice what crystals show.
-const clockDrift = GrantValidity / 50
+// clockDrift is by how much two steady clocks may differ over GrantValidity: 2.5%,
+// for clocks that are each wrong by 1%, far more than crystals show.
+const clockDrift = GrantValidity / 40
 
 // grantsLapsed is after what time on one clock the grants counted on another
 // have lapsed.
