Reads: lag is estimated, not tried out; connections that exist are waited for

Change: how far a replica is behind is estimated from samples, and one that should not hold a position comes after the primary; a refusal is remembered for up to 120 ms; a request waits for connections that exist while no further one can be opened; unused connections are closed after 2 s but for one; near members first.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,10 +56,11 @@
 
 	mu       sync.Mutex
 	queue    *pool.Queue
-	idle     []C
+	idle     []idle[C] // the one used last comes last
 	all      map[any]C // by themselves
 	waiters  map[uint64]chan struct{}
 	nextID   uint64
+	freed    chan struct{} // closed, and replaced, when a connection comes free
 	failures int           // dials that failed in a row
 	retryAt  time.Duration // before which no dial is tried
 	closed   bool
@@ -75,10 +77,17 @@
 		queue:   pool.New(cfg.Queue),
 		all:     make(map[any]C),
 		waiters: make(map[uint64]chan struct{}),
+		freed:   make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 }
 
+// idle is a connection that nobody uses.
+type idle[C Conn] struct {
+	conn  C
+	since time.Duration
+}
+
 // Lease is the right to one connection.
 type Lease[C Conn] struct {
 	Conn    C
@@ -206,16 +215,23 @@
 	}
 }
 
-// connect finds an idle connection for a grant or opens one.
+// connect finds an idle connection for a grant or opens one. While no further
+// one can be opened it waits for those that exist.
 func (p *Pool[C]) connect(ctx context.Context, r pool.Request, prefer func(C) int) (*Lease[C], error) {
 	lease := &Lease[C]{pool: p, request: r, since: p.now()}
-	var ok bool
-	if lease.Conn, ok = p.takeIdle(prefer); ok {
-		return lease, nil
-	}
-	if p.backingOff() {
-		lease.GiveBack()
-		return nil, ErrBackoff
+	for {
+		conn, ok, freed, wait := p.takeIdle(prefer)
+		if ok {
+			lease.Conn = conn
+			return lease, nil
+		}
+		if wait == 0 {
+			break
+		}
+		if err := p.awaitFreed(ctx, r, freed, wait); err != nil {
+			lease.GiveBack()
+			return nil, err
+		}
 	}
 	select {
 	case p.dials <- struct{}{}:
@@ -224,7 +240,8 @@
 		return nil, ctx.Err()
 	}
 	defer func() { <-p.dials }()
-	if lease.Conn, ok = p.takeIdle(prefer); ok {
+	if conn, ok, _, _ := p.takeIdle(prefer); ok {
+		lease.Conn = conn
 		return lease, nil
 	}
 	conn, err := p.dial(ctx)
@@ -236,10 +253,27 @@
 	return lease, nil
 }
 
-func (p *Pool[C]) backingOff() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.now() < p.retryAt
+// awaitFreed waits until a connection may have come free, or a dial may be tried
+// again. Without a connection in existence there is nothing to wait for.
+func (p *Pool[C]) awaitFreed(ctx context.Context, r pool.Request, freed <-chan struct{}, wait time.Duration) error {
+	if p.Open() == 0 {
+		return ErrBackoff
+	}
+	left := r.Deadline - p.now()
+	if left <= 0 {
+		return ErrBackoff
+	}
+	timer := time.NewTimer(min(wait, left))
+	defer timer.Stop()
+	select {
+	case <-freed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.done:
+		return ErrClosed
+	}
+	return nil
 }
 
 // maxDoublings keeps the backoff's shift in range.
@@ -266,29 +300,30 @@
 }
 
 // takeIdle takes the idle connection that prefer ranks highest, the one used
-// last among equals.
-func (p *Pool[C]) takeIdle(prefer func(C) int) (C, bool) {
+// last among equals. Without one it returns for how long no dial may be tried,
+// and what tells of a connection that comes free.
+func (p *Pool[C]) takeIdle(prefer func(C) int) (C, bool, <-chan struct{}, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
 		best := len(p.idle) - 1
 		if prefer != nil {
 			for i := best - 1; i >= 0; i-- {
-				if prefer(p.idle[i]) > prefer(p.idle[best]) {
+				if prefer(p.idle[i].conn) > prefer(p.idle[best].conn) {
 					best = i
 				}
 			}
 		}
-		conn := p.idle[best]
+		conn := p.idle[best].conn
 		p.idle = append(p.idle[:best], p.idle[best+1:]...)
 		if conn.Alive() {
-			return conn, true
+			return conn, true, nil, 0
 		}
 		conn.Kill()
 		delete(p.all, conn)
 	}
 	var none C
-	return none, false
+	return none, false, p.freed, max(0, p.retryAt-p.now())
 }
 
 // GiveBack ends a lease that holds no connection.
@@ -310,7 +345,9 @@
 	defer p.mu.Unlock()
 	switch {
 	case clean && !p.closed:
-		p.idle = append(p.idle, l.Conn)
+		p.idle = append(p.idle, idle[C]{conn: l.Conn, since: p.now()})
+		close(p.freed)
+		p.freed = make(chan struct{})
 	default:
 		l.Conn.Kill()
 		delete(p.all, l.Conn)
@@ -322,11 +359,34 @@
 func (p *Pool[C]) DropIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range p.idle {
-		conn.Kill()
-		delete(p.all, conn)
-	}
-	p.idle = nil
+	p.dropIdle(func(idle[C]) bool { return true })
+}
+
+// Shrink closes connections that nobody has used for a while, as long as more
+// than keep exist.
+func (p *Pool[C]) Shrink(unused time.Duration, keep int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, open := p.now(), len(p.all)
+	p.dropIdle(func(i idle[C]) bool {
+		if open <= keep || now-i.since < unused {
+			return false
+		}
+		open--
+		return true
+	})
+}
+
+// dropIdle closes the idle connections of which drop says so. The caller holds mu.
+func (p *Pool[C]) dropIdle(drop func(idle[C]) bool) {
+	p.idle = slices.DeleteFunc(p.idle, func(i idle[C]) bool {
+		if !drop(i) {
+			return false
+		}
+		i.conn.Kill()
+		delete(p.all, i.conn)
+		return true
+	})
 }
 
 // Warm opens connections ahead of need until n exist, one after another.
@@ -345,7 +405,7 @@
 			return
 		}
 		p.mu.Lock()
-		p.idle = append(p.idle, conn)
+		p.idle = append(p.idle, idle[C]{conn: conn, since: p.now()})
 		p.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/internal/connpool/connpool_test.go
@@ -0,0 +1,126 @@
+package connpool
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/pool"
+)
+
+type fakeConn struct {
+	dead  atomic.Bool
+	dirty bool
+	label int
+}
+
+func (c *fakeConn) Alive() bool { return !c.dead.Load() }
+func (c *fakeConn) Clean() bool { return !c.dirty }
+func (c *fakeConn) Kill()       { c.dead.Store(true) }
+
+// dialer opens connections until limit of them exist.
+type dialer struct {
+	opened atomic.Int64
+	limit  int64
+}
+
+var errLimit = errors.New("no more connections")
+
+func (d *dialer) open(context.Context) (*fakeConn, error) {
+	if d.opened.Load() >= d.limit {
+		return nil, errLimit
+	}
+	return &fakeConn{label: int(d.opened.Add(1))}, nil
+}
+
+const never = time.Hour // no test waits for it
+
+func newPool(d *dialer, backoff time.Duration) (*Pool[*fakeConn], *atomic.Int64) {
+	clock := new(atomic.Int64)
+	cfg := Config{
+		Queue: pool.Config{Capacity: 2, MaxQueue: 8}, Dials: 2, DialTimeout: never, MinBackoff: backoff, MaxBackoff: backoff,
+	}
+	return New(cfg, d.open, func() time.Duration { return time.Duration(clock.Load()) }), clock
+}
+
+func acquire(t *testing.T, p *Pool[*fakeConn]) *Lease[*fakeConn] {
+	t.Helper()
+	lease, err := p.Acquire(t.Context(), pool.Request{Service: "s", Deadline: never}, nil)
+	must.NoError(t, err)
+	return lease
+}
+
+// While no further connection can be opened, a request waits for one that exists.
+func TestBackoffWaitsForConnectionsThatExist(t *testing.T) {
+	p, _ := newPool(&dialer{limit: 1}, never)
+	first := acquire(t, p)
+	_, err := p.Acquire(t.Context(), pool.Request{Service: "s", Deadline: never}, nil)
+	must.ErrorIs(t, err, errLimit)
+	got := make(chan *Lease[*fakeConn])
+	go func() {
+		lease, err := p.Acquire(context.Background(), pool.Request{Service: "s", Deadline: never}, nil)
+		if err != nil {
+			t.Errorf("acquire: %v", err)
+		}
+		got <- lease
+	}()
+	for p.InUse() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	first.Release()
+	must.Eq(t, 1, (<-got).Conn.label)
+}
+
+func TestBackoffWithoutConnectionsFailsAtOnce(t *testing.T) {
+	p, clock := newPool(&dialer{limit: 0}, time.Second)
+	request := pool.Request{Service: "s", Deadline: never}
+	_, err := p.Acquire(t.Context(), request, nil)
+	must.ErrorIs(t, err, errLimit)
+	_, err = p.Acquire(t.Context(), request, nil)
+	must.ErrorIs(t, err, ErrBackoff)
+	clock.Store(int64(time.Second))
+	_, err = p.Acquire(t.Context(), request, nil)
+	must.ErrorIs(t, err, errLimit)
+	must.Zero(t, p.InUse())
+}
+
+func TestPreferredConnectionIsTaken(t *testing.T) {
+	p, _ := newPool(&dialer{limit: 2}, never)
+	a, b := acquire(t, p), acquire(t, p)
+	a.Release()
+	b.Release()
+	lease, err := p.Acquire(t.Context(), pool.Request{Service: "s", Deadline: never}, func(c *fakeConn) int { return -c.label })
+	must.NoError(t, err)
+	must.Eq(t, 1, lease.Conn.label)
+}
+
+func TestDirtyAndDeadConnectionsAreNotShared(t *testing.T) {
+	p, _ := newPool(&dialer{limit: 3}, never)
+	lease := acquire(t, p)
+	lease.Conn.dirty = true
+	lease.Release()
+	must.True(t, lease.Conn.dead.Load())
+	must.Zero(t, p.Open())
+	lease = acquire(t, p)
+	lease.Release()
+	lease.Conn.Kill()
+	must.Eq(t, 3, acquire(t, p).Conn.label)
+}
+
+func TestShrink(t *testing.T) {
+	p, clock := newPool(&dialer{limit: 2}, never)
+	a, b := acquire(t, p), acquire(t, p)
+	a.Release()
+	clock.Store(10)
+	b.Release()
+	p.Shrink(10, 1)
+	must.Eq(t, 1, p.Open())
+	must.True(t, a.Conn.dead.Load())
+	clock.Store(100)
+	p.Shrink(10, 1)
+	must.Eq(t, 1, p.Open())
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -139,6 +139,7 @@
 			if state.Expire(i.now()) {
 				i.publish(state)
 			}
+			i.upstreams.Shrink()
 		case <-i.ctx.Done():
 			return nil
 		}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -128,7 +128,7 @@
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
-	i.relay = relay.New(i.started, i.topology.Load, i.upstreams, i.part("relay"), i.set)
+	i.relay = relay.New(i.started, settings.DataCentre, i.topology.Load, i.upstreams, i.part("relay"), i.set)
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
 		return nil, err
 	}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -154,7 +154,7 @@
 		a.why = "no replica is known to be fresh enough"
 		return a.tryPrimary(a.holdUntil())
 	}
-	order := routing.Order(a.candidates(), required)
+	order := routing.Order(a.candidates(), required, a.group.age(a.now(), required))
 	last := noRoom
 	for i, c := range order {
 		wait := time.Duration(0) // a connection that is free now
@@ -195,6 +195,7 @@
 			continue
 		}
 		c := up.view(a.now())
+		c.Near = m.DataCentre == relay.near
 		if err == nil && m.ID == authority.Primary {
 			c.Primary = true
 		}
@@ -309,10 +310,7 @@
 func (a *attempt) refusedBy(up *upstream, held *hold, answer statement.Answer) (statement.Answer, outcome) {
 	held.release()
 	a.why = "member " + up.member.ID + ": " + answer.Err.Error()
-	switch answer.Err.Code {
-	case statement.Lagging:
-		up.noteLagging(a.now(), answer.Position)
-	case statement.ReadOnly, statement.Misrouted:
+	if code := answer.Err.Code; code == statement.ReadOnly || code == statement.Misrouted {
 		up.noteMiss(a.now())
 	}
 	return statement.Answer{}, notRun
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 // Relay is what the sessions of an instance share. It is safe for concurrent use.
 type Relay struct {
 	started   time.Time
+	near      string // the instance's data centre
 	topology  func() *topology.Snapshot
 	upstreams *Upstreams
 	log       *logrus.Entry
@@ -24,10 +25,11 @@
 	gates map[string]*lead.Gate
 }
 
-// New returns a relay whose times count from started, on the steady clock.
-func New(started time.Time, topology func() *topology.Snapshot, upstreams *Upstreams, log *logrus.Entry, set *metrics.Set) *Relay {
+// New returns a relay of an instance in a data centre, whose times count from
+// started, on the steady clock.
+func New(started time.Time, dataCentre string, topology func() *topology.Snapshot, upstreams *Upstreams, log *logrus.Entry, set *metrics.Set) *Relay {
 	return &Relay{
-		started: started, topology: topology, upstreams: upstreams, log: log, set: set,
+		started: started, near: dataCentre, topology: topology, upstreams: upstreams, log: log, set: set,
 		gates: make(map[string]*lead.Gate),
 	}
 }
@@ -68,6 +70,10 @@
 // member is the primary, and its position is a sample.
 func (r *Relay) noteAnswer(up *upstream, g *groupState, pass *lead.Pass, asked time.Duration, answer statement.Answer) {
 	up.noteAnswer(r.now(), answer.Position)
+	if pass == nil && !answer.Position.IsZero() {
+		lagging := answer.Err != nil && answer.Err.Code == statement.Lagging
+		up.noteProgress(g.behind(r.now(), answer.Position), lagging, r.now())
+	}
 	if pass != nil && pass.Covers(answer.Position) && pass.Valid() {
 		g.note(asked, answer.Position)
 	}
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -21,8 +21,14 @@
 	concurrentDials = 2                      // a connection that opens takes a slot of the member
 	dialTimeout     = 400 * time.Millisecond // 12 ms on the sheets, behind a full queue more
 	minDialBackoff  = 50 * time.Millisecond  // refused connections are priced like served ones
-	maxDialBackoff  = time.Second
+	maxDialBackoff  = 400 * time.Millisecond
 	maxQueue        = 64 // requests of one route that wait for a connection of one member
+
+	// unusedFor is after what time a connection that nobody has used is closed, but
+	// for one. So a member keeps room for the connections of instances that have
+	// just started, while those of dead ones take up to 3 s to go.
+	unusedFor = 2 * time.Second
+	keepOpen  = 1
 )
 
 // Samples of a primary's log, from which the position that a bounded read must
@@ -40,7 +46,9 @@
 	mu       sync.Mutex // guards the rest
 	health   member.Health
 	position group.Position // end of its log, as its answers told
+	behind   time.Duration  // how long ago the primary was there; negative: not known
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
+	lagged   int            // reads in a row that it could not serve
 }
 
 // groupState is what the instance has seen of one group.
@@ -104,7 +112,7 @@
 }
 
 func (u *Upstreams) newUpstream(m topology.Member, capacity int) *upstream {
-	up := &upstream{member: m}
+	up := &upstream{member: m, behind: -1}
 	cfg := connpool.Config{
 		Queue:       pool.Config{Capacity: capacity, MaxQueue: maxQueue},
 		Dials:       concurrentDials,
@@ -157,6 +165,15 @@
 	}
 }
 
+// Shrink closes connections that have not been used for a while.
+func (u *Upstreams) Shrink() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, up := range u.members {
+		up.pool.Shrink(unusedFor, keepOpen)
+	}
+}
+
 // Close breaks all connections.
 func (u *Upstreams) Close() {
 	u.mu.Lock()
@@ -181,18 +198,27 @@
 	up.health.Missed(now)
 }
 
-// noteLagging records that the member could not serve a read for want of log.
-func (up *upstream) noteLagging(now time.Duration, p group.Position) {
+// noteProgress records where a replica's log ends.
+func (up *upstream) noteProgress(behind time.Duration, lagging bool, now time.Duration) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	up.health.Answered(now)
-	up.position = p
-	up.lagUntil = now + lagPause
+	up.behind = behind
+	if !lagging {
+		up.lagged = 0
+		return
+	}
+	up.lagUntil = now + min(minLagPause<<min(up.lagged, maxLagShift), maxLagPause)
+	up.lagged++
 }
 
-// lagPause is for how long a member that was found lagging is not tried again.
-// Each try costs a round trip of up to 2.8 ms.
-const lagPause = 15 * time.Millisecond
+// Bounds of how long a member that was found lagging is not tried again, for
+// reads that need more than it had. Each try costs a round trip of up to 2.8 ms
+// and a connection for that time.
+const (
+	minLagPause = 15 * time.Millisecond
+	maxLagPause = 120 * time.Millisecond
+	maxLagShift = 3
+)
 
 // view returns what routing needs to know of the member.
 func (up *upstream) view(now time.Duration) routing.Candidate {
@@ -202,8 +228,9 @@
 		ID:       up.member.ID,
 		Draining: up.member.Draining,
 		Usable:   up.health.Usable(now),
-		Lagging:  now < up.lagUntil,
+		Refused:  now < up.lagUntil,
 		Position: up.position,
+		Behind:   up.behind,
 		Load:     up.pool.Load(),
 	}
 }
@@ -234,6 +261,25 @@
 	return g.samples.RequiredAt(at)
 }
 
+// behind returns how long ago the primary's log ended at a position, negative
+// when the samples do not tell.
+func (g *groupState) behind(now time.Duration, p group.Position) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.samples.Newest(); !ok || p.Term != g.term {
+		return -1
+	}
+	return g.samples.Behind(now, p)
+}
+
+// age returns how long ago a position was the end of the primary's log.
+func (g *groupState) age(now time.Duration, p group.Position) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	age, _ := g.samples.Age(now, p)
+	return age
+}
+
 // floor translates a session's floor into the current term: commits beyond the
 // start of a new term are gone, and those before it are in every log of the term.
 func (g *groupState) floor(p group.Position) group.Position {
