Members get no more statements than their slots take; the queue stays here

Early refusals by the expected wait counted on holding times of transactions.

Change: statements outside transactions are bounded by twice the slots over all instances; routes of one priority share one queue in order of arrival, which is patient until the deadline.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -98,6 +98,31 @@
 	pool    *Pool[C]
 	request pool.Request
 	since   time.Duration
+	parked  bool // guarded by the pool's mu, as is ended
+	ended   bool
+}
+
+// Park notes that the connection is held and runs nothing for a while, or waits
+// for an answer that is not about to come. It may be called at any time.
+func (l *Lease[C]) Park() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !l.parked && !l.ended {
+		l.parked = true
+		p.queue.Park()
+		p.pass(p.now())
+	}
+}
+
+// end returns the grant. The caller holds the pool's mu.
+func (l *Lease[C]) end() {
+	l.ended = true
+	if l.parked {
+		l.parked = false
+		l.pool.queue.Unpark()
+	}
+	l.pool.finish(l.request, l.since)
 }
 
 // SetCapacity changes how many connections may be used at once.
@@ -108,6 +133,15 @@
 	p.pass(p.now())
 }
 
+// SetMaxActive changes how many connections may be used at once, those that are
+// parked left out. 0 means no such bound.
+func (p *Pool[C]) SetMaxActive(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.SetMaxActive(n)
+	p.pass(p.now())
+}
+
 // InUse returns how many connections are leased.
 func (p *Pool[C]) InUse() int {
 	p.mu.Lock()
@@ -337,7 +371,7 @@
 func (l *Lease[C]) GiveBack() {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	l.pool.finish(l.request, l.since)
+	l.end()
 }
 
 // Release ends the lease. The connection is cleaned and shared again, or closed
@@ -359,7 +393,7 @@
 		l.Conn.Kill()
 		delete(p.all, l.Conn)
 	}
-	p.finish(l.request, l.since)
+	l.end()
 }
 
 // DropIdle closes the connections that nobody uses.
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -124,3 +124,19 @@
 	p.Shrink(10, 1)
 	must.Eq(t, 1, p.Open())
 }
+
+// A lease that has ended cannot be parked any more, or its place would be lost.
+func TestParkAfterTheEndChangesNothing(t *testing.T) {
+	p, _ := newPool(&dialer{limit: 2}, never)
+	p.SetMaxActive(1)
+	for range 3 {
+		lease := acquire(t, p)
+		lease.Park()
+		lease.Park()
+		other := acquire(t, p)
+		lease.Release()
+		other.Release()
+		lease.Park()
+		must.Zero(t, p.InUse())
+	}
+}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -15,6 +15,14 @@
 	Capacity     int // connections that may be used at once
 	WriteReserve int // of them, those that reads may not take
 	MaxQueue     int // requests that may wait, for each service
+
+	// MaxActive bounds the connections in use but for the parked ones, 0: no
+	// bound. It keeps a queue in front of a busy member here, where it is fair and
+	// ends at deadlines, instead of at the member.
+	MaxActive int
+	// Patient keeps requests in the queue until their deadline even when they are
+	// not expected to be served before it.
+	Patient bool
 }
 
 // Request asks for one connection.
@@ -51,6 +59,7 @@
 	cfg      Config
 	services map[string]*service
 	inUse    int
+	parked   int // of these, connections whose holder has nothing running
 	reads    int
 	waiting  int
 	clock    float64       // virtual time of the last grant
@@ -65,6 +74,16 @@
 // SetCapacity changes the number of connections. Those in use stay in use.
 func (q *Queue) SetCapacity(n int) { q.cfg.Capacity = n }
 
+// SetMaxActive changes the bound of the connections in use but for parked ones.
+func (q *Queue) SetMaxActive(n int) { q.cfg.MaxActive = n }
+
+// Park notes that a granted connection runs nothing for a while, as one that is
+// held by a transaction. It counts on within the capacity.
+func (q *Queue) Park() { q.parked++ }
+
+// Unpark ends what Park began.
+func (q *Queue) Unpark() { q.parked-- }
+
 // InUse returns how many connections are granted.
 func (q *Queue) InUse() int { return q.inUse }
 
@@ -102,7 +121,7 @@
 	if s.waiting.Len() >= q.cfg.MaxQueue {
 		return QueueFull
 	}
-	if now+q.expectedWait(q.aheadOf(s, r)) > r.Deadline {
+	if r.Deadline <= now || !q.cfg.Patient && now+q.expectedWait(q.aheadOf(s, r)) > r.Deadline {
 		return TooLate
 	}
 	s.waiting.PushBack(r)
@@ -132,7 +151,7 @@
 
 // admissible reports whether the limits leave room for a request.
 func (q *Queue) admissible(s *service, r Request) bool {
-	if q.inUse >= q.cfg.Capacity {
+	if q.inUse >= q.cfg.Capacity || q.cfg.MaxActive > 0 && q.inUse-q.parked >= q.cfg.MaxActive {
 		return false
 	}
 	if r.Limit > 0 && s.inUse >= r.Limit {
--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -177,3 +177,38 @@
 	must.Eq(t, 10, outcomes[Queued], must.Sprint("ten of 100 ms fit into the second"))
 	must.Eq(t, 20, outcomes[TooLate])
 }
+
+// Connections that run nothing do not count as active, and others take their place.
+func TestParkedConnectionsAreNotActive(t *testing.T) {
+	q := New(Config{Capacity: 3, MaxQueue: 4, MaxActive: 1, Patient: true})
+	offer := func(id uint64) Outcome { return q.Offer(0, Request{ID: id, Service: "s", Deadline: time.Second}) }
+	must.Eq(t, Granted, offer(1))
+	must.Eq(t, Queued, offer(2))
+	q.Park()
+	granted, _ := q.Next(0)
+	must.Len(t, 1, granted)
+	q.Park()
+	must.Eq(t, Granted, offer(3))
+	q.Park()
+	must.Eq(t, Queued, offer(4), must.Sprint("the capacity holds for parked ones as well"))
+	q.Unpark()
+	q.Done(Request{ID: 1, Service: "s"}, 0)
+	granted, _ = q.Next(0)
+	must.Len(t, 1, granted)
+}
+
+// A patient queue keeps what it would otherwise refuse on arrival.
+func TestPatientQueue(t *testing.T) {
+	for _, patient := range []bool{false, true} {
+		q := New(Config{Capacity: 1, MaxQueue: 4, Patient: patient})
+		must.Eq(t, Granted, q.Offer(0, Request{ID: 1, Service: "s", Deadline: time.Second}))
+		q.Done(Request{ID: 1, Service: "s"}, time.Second)
+		must.Eq(t, Granted, q.Offer(0, Request{ID: 2, Service: "s", Deadline: time.Second}))
+		want := TooLate
+		if patient {
+			want = Queued
+		}
+		must.Eq(t, want, q.Offer(0, Request{ID: 3, Service: "s", Deadline: time.Millisecond}))
+		must.Eq(t, TooLate, q.Offer(0, Request{ID: 4, Service: "s", Deadline: 0}), must.Sprint("no time to wait at all"))
+	}
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -33,15 +33,24 @@
 	// minReadTimeout is the least time a member gets for a read: its work may take
 	// 0.2 s on the sheets, behind others.
 	minReadTimeout = 150 * time.Millisecond
+	// stuckAfter is after what time a statement without an answer does not count as
+	// work of its member any more, so that a lost answer does not keep others
+	// away. It is several times the work of a statement (6 to 40 ms on the sheets).
+	stuckAfter = 120 * time.Millisecond
 	// retryPause is the pause after all members have refused.
 	retryPause = 6 * time.Millisecond
 	// comeBack is the advice of a refusal when nothing better is known.
 	comeBack = 50 * time.Millisecond
 	// weightOfFirst is the weight of the highest priority in the queue for
 	// connections; each lower one has half of it.
-	weightOfFirst = 16
+	weightOfFirst  = 16
+	lowestPriority = 4 // what ranks lower counts the same
 )
 
+// priorityNames name the queues: routes of one priority share one, in the order
+// in which their statements came.
+var priorityNames = [lowestPriority + 1]string{"0", "1", "2", "3", "4"}
+
 // attempt is the work on one first statement.
 type attempt struct {
 	s        *session
@@ -246,8 +255,8 @@
 func (a *attempt) tryUnder(ctx context.Context, up *upstream, pass *lead.Pass, b *breaker, after group.Position, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay := a.s.relay
 	lease, err := up.pool.Acquire(ctx, pool.Request{
-		Service:  a.route.Name,
-		Weight:   max(1, weightOfFirst>>min(a.route.Priority, 4)),
+		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
+		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
 		Write:    !a.reads,
 		Deadline: max(waitUntil, a.now()),
 	}, func(c *member.Shared) int { return c.Match(a.s.values) })
@@ -268,6 +277,8 @@
 		return statement.Answer{}, noRoom
 	}
 	asked := a.now()
+	stuck := time.AfterFunc(stuckAfter, lease.Park)
+	defer stuck.Stop()
 	answer, err := lease.Conn.Run(request(a.st, a.needed, after, relay.wall(timeout)))
 	if err != nil {
 		held.release()
@@ -319,6 +330,7 @@
 // settle passes an answer on. A transaction keeps its connection.
 func (a *attempt) settle(up *upstream, held *hold, pass *lead.Pass, answer statement.Answer) (statement.Answer, outcome) {
 	if answer.State != statement.Idle {
+		held.lease.Park()
 		a.s.tx = &transaction{up: up, held: held, pass: pass, group: a.group, route: a.route}
 		return answer, served
 	}
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -93,13 +93,13 @@
 		}
 	}
 	for id, m := range snap.Members {
-		capacity := Share(snap.Groups[m.Group].MaxConnections, instances)
 		up := u.members[id]
 		if up == nil {
-			u.members[id] = u.newUpstream(m, capacity)
-			continue
+			up = u.newUpstream(m)
+			u.members[id] = up
 		}
-		up.pool.SetCapacity(capacity)
+		up.pool.SetCapacity(Share(snap.Groups[m.Group].MaxConnections, instances))
+		up.pool.SetMaxActive(ActiveShare(m.Slots, instances))
 		up.mu.Lock()
 		up.member = m
 		up.mu.Unlock()
@@ -114,10 +114,18 @@
 	return max(1, (maxConnections-reserved)/max(1, instances))
 }
 
-func (u *Upstreams) newUpstream(m topology.Member, capacity int) *upstream {
+// ActiveShare returns how many statements one instance may have running at a
+// member outside transactions. All instances together keep the member's slots
+// busy with some in reserve; more would only wait there, in no order.
+func ActiveShare(slots, instances int) int {
+	const perSlot = 2 // one that runs, and one on its way or waiting
+	return max(1, (perSlot*slots+instances-1)/max(1, instances))
+}
+
+func (u *Upstreams) newUpstream(m topology.Member) *upstream {
 	up := &upstream{member: m, behind: -1}
 	cfg := connpool.Config{
-		Queue:       pool.Config{Capacity: capacity, MaxQueue: maxQueue},
+		Queue:       pool.Config{Capacity: 1, MaxQueue: maxQueue, Patient: true},
 		Dials:       concurrentDials,
 		DialTimeout: dialTimeout,
 		Patience:    patience,
