Fewer calls: longer watches, changes read together, primaries asked on doubt

A configuration is still in force in time: a watch whose answer is lost ends within 3.7 s of its sending, inside the 4 s.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -70,6 +70,7 @@
 		MetricsListen: s.Fleet.Metrics,
 		Grace:         s.Fleet.Grace,
 		LeaseTTL:      s.Fleet.Lease,
+		StoreSilence:  s.Fleet.StoreSilence,
 		MaxCallers:    s.Caller.MaxCallers,
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,6 +71,10 @@
 	Metrics  string // address; empty: no metrics are served
 	Grace    time.Duration
 	Lease    time.Duration
+
+	// StoreSilence is the time within which it must be noticed that the store is
+	// silent. A watch is shorter, so that one whose answer was lost ends in it.
+	StoreSilence time.Duration
 }
 
 // Defaults returns the settings of an instance for which nothing is configured.
@@ -85,7 +89,7 @@
 		Credentials:     make(map[string]string),
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
-		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second},
+		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second},
 	}
 }
 
@@ -166,6 +170,9 @@
 	}
 }
 
+// leastStoreSilence leaves a watch some time beyond what is kept for its way.
+const leastStoreSilence = 2 * time.Second
+
 // requirement is a key that must be set.
 type requirement struct {
 	pl    place
@@ -196,6 +203,9 @@
 	if s.PeerAddress == "" {
 		s.PeerAddress = s.PeerListen
 	}
+	if s.Fleet.StoreSilence < leastStoreSilence {
+		p.list.Add(p.at(place{"fleet", "store_silence"}), "must be at least %s", leastStoreSilence)
+	}
 	p.pair("caller", s.CallerTLS)
 	p.pair("peer", s.PeerTLS)
 	p.pair("operator", s.OperatorTLS)
@@ -279,6 +289,7 @@
 		{"fleet", "metrics"}:                   address(&s.Fleet.Metrics),
 		{"fleet", "grace"}:                     duration(&s.Fleet.Grace),
 		{"fleet", "lease"}:                     duration(&s.Fleet.Lease),
+		{"fleet", "store_silence"}:             duration(&s.Fleet.StoreSilence),
 	}
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -14,12 +14,14 @@
 
 // Settings of the calls to the store.
 const (
-	// watchWait is how long the store may hold a watch. A watch whose answer is
-	// lost is noticed after that and watchSlack, which together must stay below
-	// the time in which a configuration must be in force (3 s on the sheets).
-	watchWait = 1500 * time.Millisecond
-	// watchSlack covers the way and a slow store (0.3 s on the sheets).
+	// watchSlack is kept for the way of a watch and a slow store (0.3 s on the
+	// sheets), of the time after which its silence must have been noticed.
 	watchSlack = 700 * time.Millisecond
+	// watchMargin is kept of the same time for what follows.
+	watchMargin = 300 * time.Millisecond
+	// watchPause is the pause after changes came, so that those which come in quick
+	// succession, as at a start, are read by one call.
+	watchPause = 40 * time.Millisecond
 	// storeTimeout bounds any other call.
 	storeTimeout = 1500 * time.Millisecond
 	// minStorePause and maxStorePause bound the pause after a failed call. Each
@@ -91,14 +93,18 @@
 }
 
 func (i *Instance) watchOnce(after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(i.ctx, watchWait+watchSlack)
+	wait := i.settings.StoreSilence - watchSlack - watchMargin
+	ctx, cancel := context.WithTimeout(i.ctx, wait+watchSlack)
 	defer cancel()
 	sent := i.now()
-	events, revision, err := i.platform.Store.Watch(ctx, "", after, watchWait)
+	events, revision, err := i.platform.Store.Watch(ctx, "", after, wait)
 	if err != nil {
 		return after, err
 	}
 	i.take(change{events: events, sent: sent})
+	if len(events) > 0 {
+		sleep(i.ctx, watchPause)
+	}
 	return revision, nil
 }
 
@@ -268,4 +274,5 @@
 }
 
 func (s surroundings) Heard(id string) (time.Duration, bool) { return s.i.upstreams.Heard(id) }
+func (s surroundings) Doubtful(id string) bool               { return s.i.upstreams.Doubtful(id) }
 func (s surroundings) NoteAnswer(id string)                  { s.i.upstreams.NoteAnswer(id) }
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -105,7 +105,7 @@
 	log.SetOutput(io.Discard)
 	inst, err := New(Settings{
 		Name: name, CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
-		Grace: 6 * time.Second, LeaseTTL: 3 * time.Second, MaxCallers: 100,
+		Grace: 6 * time.Second, LeaseTTL: 3 * time.Second, StoreSilence: 4 * time.Second, MaxCallers: 100,
 	}, Platform{
 		Store: client, Promoter: f.group, Dialer: f.group, Decoder: jsonDecoder{},
 		Caller: func(conn net.Conn) relay.Caller { return platform.NewCallerConn(conn) },
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -59,6 +59,7 @@
 	MetricsListen string        // empty: no metrics are served
 	Grace         time.Duration // after which the platform ends a process that was asked to stop
 	LeaseTTL      time.Duration
+	StoreSilence  time.Duration // within which it must be noticed that the store is silent
 	MaxCallers    int
 }
 
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -22,8 +22,11 @@
 	rankDelay = 300 * time.Millisecond
 	// storeTimeout bounds one call of the store; slow ones take 0.3 s.
 	storeTimeout = 1500 * time.Millisecond
-	// probeAfter is for how long a primary may be silent before it is asked.
-	probeAfter = 250 * time.Millisecond
+	// probeAfter is for how long a primary may be silent before it is asked, where
+	// no attempt of a caller's statement has failed. Each question is charged.
+	probeAfter = 500 * time.Millisecond
+	// probePause is the least pause between two questions.
+	probePause = 120 * time.Millisecond
 	// probeTimeout bounds one question to a member: it may wait behind a queue of
 	// statements there (24 of some 20 ms on 3 slots).
 	probeTimeout = 350 * time.Millisecond
@@ -60,6 +63,9 @@
 	Gate(group string) *Gate
 	// Heard tells how long ago a member answered this instance.
 	Heard(member string) (time.Duration, bool)
+	// Doubtful reports whether a member has left an attempt of this instance
+	// unanswered since its last answer.
+	Doubtful(member string) bool
 	// NoteAnswer records that a member answered.
 	NoteAnswer(member string)
 	// Event puts a change of belief on the time line.
@@ -275,11 +281,11 @@
 func (c *Controller) checkHealth(ctx context.Context, group string, g *ledGroup, primary topology.Member) {
 	age, heard := c.around.Heard(primary.ID)
 	now := c.now()
-	if heard && age < probeAfter {
+	if heard && age < probeAfter && !c.around.Doubtful(primary.ID) {
 		g.refused, g.silent = 0, false
 		return
 	}
-	if now-g.probedAt < probeAfter/2 {
+	if now-g.probedAt < probePause {
 		return
 	}
 	g.probedAt = now
--- a/internal/member/health.go
+++ b/internal/member/health.go
@@ -37,3 +37,6 @@
 func (h *Health) SinceAnswer(now time.Duration) (time.Duration, bool) {
 	return now - h.lastAnswer, h.answered
 }
+
+// Doubtful reports whether an attempt since the last answer got none.
+func (h *Health) Doubtful() bool { return h.failures > 0 }
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -159,6 +159,18 @@
 	return g
 }
 
+// Doubtful reports whether a member has left an attempt unanswered since its last
+// answer.
+func (u *Upstreams) Doubtful(id string) bool {
+	up := u.get(id)
+	if up == nil {
+		return false
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.health.Doubtful()
+}
+
 // Heard returns how long ago a member answered.
 func (u *Upstreams) Heard(id string) (time.Duration, bool) {
 	up := u.get(id)
