--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -136,6 +136,8 @@
 	state := topology.New(memberGrace)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	report := time.NewTicker(reportInterval)
+	defer report.Stop()
 	for {
 		select {
 		case c := <-i.changes:
@@ -146,6 +148,8 @@
 				i.publish(state)
 			}
 			i.upstreams.Shrink()
+		case <-report.C:
+			i.upstreams.Report(i.part("relay"))
 		case <-i.ctx.Done():
 			return nil
 		}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -66,6 +66,7 @@
 // Settings of the parts.
 const (
 	tickInterval    = 50 * time.Millisecond // bounds how late a fault is noticed
+	reportInterval  = 5 * time.Second       // one line a member then
 	backgroundTasks = 256
 	eventsKept      = 512
 	// enforceDrain is how long open work may outlast a grant that ended without a
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,7 +69,7 @@
 // noteAnswer takes in what an answer tells of its member. Under a pass the
 // member is the primary, and its position is a sample.
 func (r *Relay) noteAnswer(up *upstream, g *groupState, pass *lead.Pass, asked time.Duration, answer statement.Answer) {
-	up.noteAnswer(r.now(), answer.Position)
+	up.noteAnswer(asked, r.now(), answer.Position)
 	if pass == nil && !answer.Position.IsZero() {
 		lagging := answer.Err != nil && answer.Err.Code == statement.Lagging
 		up.noteProgress(g.behind(r.now(), answer.Position), lagging, r.now())
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/member"
@@ -52,6 +54,16 @@
 	behind   time.Duration  // how long ago the primary was there; negative: not known
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
+	recent   tally
+}
+
+// tally is what came of the attempts at a member since the last report.
+type tally struct {
+	answered int
+	lagging  int
+	unheard  int           // attempts that got no answer
+	took     time.Duration // all answers together
+	longest  time.Duration
 }
 
 // groupState is what the instance has seen of one group.
@@ -185,7 +197,28 @@
 // NoteAnswer records that a member answered.
 func (u *Upstreams) NoteAnswer(id string) {
 	if up := u.get(id); up != nil {
-		up.noteAnswer(u.now(), group.Position{})
+		up.noteAnswer(u.now(), u.now(), group.Position{})
+	}
+}
+
+// Report logs what came of the attempts at each member since the last report.
+func (u *Upstreams) Report(log *logrus.Entry) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, up := range u.members {
+		up.mu.Lock()
+		recent, behind := up.recent, up.behind
+		up.recent = tally{}
+		up.mu.Unlock()
+		if recent == (tally{}) {
+			continue
+		}
+		log.WithFields(logrus.Fields{
+			"group": up.member.Group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
+			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
+			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
+			"connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
+		}).Info("relay: a member since the last report")
 	}
 }
 
@@ -207,10 +240,14 @@
 	}
 }
 
-func (up *upstream) noteAnswer(now time.Duration, p group.Position) {
+// noteAnswer records an answer to a question of that time.
+func (up *upstream) noteAnswer(asked, now time.Duration, p group.Position) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Answered(now)
+	up.recent.answered++
+	up.recent.took += now - asked
+	up.recent.longest = max(up.recent.longest, now-asked)
 	if !p.IsZero() {
 		up.position = p
 	}
@@ -220,6 +257,7 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Missed(now)
+	up.recent.unheard++
 }
 
 // noteProgress records where a replica's log ends.
@@ -231,6 +269,7 @@
 		up.lagged = 0
 		return
 	}
+	up.recent.lagging++
 	up.lagUntil = now + min(minLagPause<<min(up.lagged, maxLagShift), maxLagPause)
 	up.lagged++
 }
