An instance that is gone for good delays no change of primary once its grants lapsed

Now those who release tell whom they attested and since when they run: a quorum that attested an instance never, or long ago, shows that its grant is over. Property with the mutation 'goneSince alone' fails; table test for responders that began later.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -140,10 +140,11 @@
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
 		return nil, err
 	}
-	i.controller = lead.NewController(i.self, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
+	server := lead.NewServer(i.self.Incarnation, i.relay.Gate, i.informed, i.now, i.upstreams.Heard)
+	i.controller = lead.NewController(i.self, server, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
 		i.now, i.spawn, i.part("lead"))
 	i.peers = grpc.NewServer()
-	leadpb.RegisterCoordinationServer(i.peers, lead.NewServer(i.self.Incarnation, i.relay.Gate, i.informed, i.upstreams.Heard))
+	leadpb.RegisterCoordinationServer(i.peers, server)
 	return i, nil
 }
 
--- a/internal/lead/attest.go
+++ b/internal/lead/attest.go
@@ -21,7 +21,7 @@
 	ctx, cancel := context.WithTimeout(ctx, attestTimeout)
 	defer cancel()
 	registered := c.around.View().Registered(c.now())
-	req := &leadpb.AttestRequest{}
+	req := &leadpb.AttestRequest{From: c.self.Name}
 	for group := range c.around.Topology().Groups {
 		if _, revision := c.around.Gate(group).Record(); revision > 0 {
 			req.Known = append(req.Known, &leadpb.GroupRevision{Group: group, Revision: revision})
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -310,7 +310,7 @@
 	return ctx.Err()
 }
 
-// release is the end of all grants of a record.
+// release is the end of all grants of a record. Times are of the leader's clock.
 type release struct {
 	group     string
 	revision  int64
@@ -320,40 +320,60 @@
 	mu       sync.Mutex // guards the rest
 	missing  int        // instances that must still release until there is a quorum
 	quorumAt time.Duration
+	attested map[string]time.Duration // when one that released last attested an instance, by name
+	oldest   time.Duration            // since when all that released know whom they attested
 }
 
-// note counts an instance that has released.
-func (r *release) note(now time.Duration) {
+// note counts an instance that has released and says whom it attested.
+func (r *release) note(now time.Duration, reply *leadpb.ReleaseReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.missing--
 	if r.missing == 0 {
 		r.quorumAt = now
 	}
+	r.oldest = max(r.oldest, now-time.Duration(reply.UptimeUs)*time.Microsecond)
+	if r.attested == nil {
+		r.attested = make(map[string]time.Duration)
+	}
+	for name, age := range reply.AttestedUs {
+		r.attested[name] = max(r.attested[name], now-time.Duration(age)*time.Microsecond)
+	}
 }
 
-// lapsed reports whether a grant that was not released is over. Before there is a
-// quorum of releases it may be attested for as long as that can replace the store.
-func (r *release) lapsed(now time.Duration) bool {
+// lapsed reports whether the grant of an instance that did not release is over.
+// goneSince is since when its lease has been gone, zero when it holds: the store
+// has not confirmed its grant since. Before there is a quorum of releases a grant
+// may be attested for as long as that can replace the store.
+func (r *release) lapsed(now time.Duration, name string, goneSince time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.missing > 0 {
 		return now-r.announced >= storelessLapsed
 	}
-	return now-max(r.announced, r.quorumAt) >= grantsLapsed
+	confirmed := max(r.announced, r.quorumAt)
+	if goneSince > 0 {
+		// No quorum has attested it later than the latest of those that released.
+		confirmed = min(confirmed, max(goneSince, r.attested[name], r.oldest))
+	}
+	return now-confirmed >= grantsLapsed
 }
 
 func (c *Controller) releaseOne(ctx context.Context, r *release, instance Instance) {
 	if instance.Name == c.self.Name {
-		if err := c.around.Gate(r.group).Release(ctx, r.revision, r.drain); err == nil {
-			r.note(c.now())
+		if reply, err := c.own.Release(ctx, r.request()); err == nil {
+			r.note(c.now(), reply)
 		}
 		return
 	}
-	for tries := 0; ctx.Err() == nil && !r.lapsed(c.now()); tries++ {
-		err := c.callRelease(ctx, r, instance)
+	for tries := 0; ctx.Err() == nil; tries++ {
+		goneSince, _ := c.around.View().MissingSince(instance.Name)
+		if r.lapsed(c.now(), instance.Name, goneSince) {
+			return
+		}
+		reply, err := c.callRelease(ctx, r, instance)
 		if err == nil {
-			r.note(c.now())
+			r.note(c.now(), reply)
 			return
 		}
 		if !c.stillRegistered(instance) {
@@ -381,17 +401,20 @@
 	return false
 }
 
-func (c *Controller) callRelease(ctx context.Context, r *release, instance Instance) error {
+func (r *release) request() *leadpb.ReleaseRequest {
+	return &leadpb.ReleaseRequest{Group: r.group, Revision: r.revision, DrainUs: r.drain.Microseconds()}
+}
+
+func (c *Controller) callRelease(ctx context.Context, r *release, instance Instance) (*leadpb.ReleaseReply, error) {
 	client, err := c.peers.client(instance.Address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.drain+releaseTimeout)
 	defer cancel()
 	// Any process that answers at the address has released, or holds no grant:
 	// another than the one asked for began after that one's end.
-	_, err = client.Release(ctx, &leadpb.ReleaseRequest{Group: r.group, Revision: r.revision, DrainUs: r.drain.Microseconds()})
-	return err
+	return client.Release(ctx, r.request())
 }
 
 // found is what a member said of itself.
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -85,6 +85,7 @@
 	spawn    func(func())
 	log      *logrus.Entry
 	peers    *peers
+	own      *Server // answers this instance's own questions
 
 	mu     sync.Mutex // guards groups
 	groups map[string]*ledGroup
@@ -114,12 +115,12 @@
 	revision int64 // of the record that announced the change
 }
 
-// NewController returns the controller of an instance. spawn runs a task in the
-// background.
-func NewController(self Instance, store kv.Store, promoter Promoter, dialer member.Dialer, around Surroundings,
+// NewController returns the controller of an instance, which asks its own server
+// as it asks those of others. spawn runs a task in the background.
+func NewController(self Instance, own *Server, store kv.Store, promoter Promoter, dialer member.Dialer, around Surroundings,
 	now func() time.Duration, spawn func(func()), log *logrus.Entry) *Controller {
 	return &Controller{
-		self: self, store: store, promoter: promoter, dialer: dialer, around: around,
+		self: self, own: own, store: store, promoter: promoter, dialer: dialer, around: around,
 		now: now, spawn: spawn, log: log, peers: newPeers(), groups: make(map[string]*ledGroup),
 	}
 }
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/standin/memstore"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -55,7 +56,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := Instance{Name: name, Incarnation: name + "-1"}
-	c := NewController(self, store, group, group, f, now, func(task func()) { task() }, log.WithField("part", "lead"))
+	own := NewServer(self.Incarnation, f.Gate, func() bool { return true }, now, f.Heard)
+	c := NewController(self, own, store, group, group, f, now, func(task func()) { task() }, log.WithField("part", "lead"))
 	t.Cleanup(c.Close)
 	lease, err := store.Grant(t.Context(), time.Second)
 	must.NoError(t, err)
@@ -138,3 +140,34 @@
 		store.EndLease(around.lease)
 	}
 }
+
+func TestReleaseOfInstancesThatCannotBeReached(t *testing.T) {
+	const announced = 100 * time.Second
+	reply := func(uptime time.Duration, attested ...string) *leadpb.ReleaseReply {
+		r := &leadpb.ReleaseReply{UptimeUs: uptime.Microseconds(), AttestedUs: make(map[string]int64)}
+		for _, name := range attested {
+			r.AttestedUs[name] = time.Second.Microseconds()
+		}
+		return r
+	}
+	for name, c := range map[string]struct {
+		replies   []*leadpb.ReleaseReply // of a quorum of two, at the announcement
+		goneSince time.Duration
+		until     time.Duration // its grant counts until then
+	}{
+		"no quorum":                       {[]*leadpb.ReleaseReply{reply(announced)}, 10 * time.Second, announced + storelessLapsed},
+		"its lease holds":                 {[]*leadpb.ReleaseReply{reply(announced), reply(announced)}, 0, announced + grantsLapsed},
+		"gone, and never attested":        {[]*leadpb.ReleaseReply{reply(announced), reply(announced)}, 95 * time.Second, 95*time.Second + grantsLapsed},
+		"gone, and attested a second ago": {[]*leadpb.ReleaseReply{reply(announced), reply(announced, "x")}, 80 * time.Second, 99*time.Second + grantsLapsed},
+		"one that would know began later": {[]*leadpb.ReleaseReply{reply(announced), reply(3 * time.Second)}, 80 * time.Second, 97*time.Second + grantsLapsed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &release{announced: announced, missing: 2}
+			for _, reply := range c.replies {
+				r.note(announced, reply)
+			}
+			must.False(t, r.lapsed(c.until-1, "x", c.goneSince))
+			must.True(t, r.lapsed(c.until, "x", c.goneSince))
+		})
+	}
+}
--- a/internal/lead/peers.go
+++ b/internal/lead/peers.go
@@ -66,13 +66,17 @@
 	incarnation string
 	gates       func(group string) *Gate
 	informed    func() bool
+	now         func() time.Duration // since the process started
 	heard       func(member string) (time.Duration, bool)
+
+	mu       sync.Mutex               // guards attested
+	attested map[string]time.Duration // when an instance last asked, by name
 }
 
 // NewServer returns the server of a process. informed tells whether it has read
-// the store, heard how long ago a member answered.
-func NewServer(incarnation string, gates func(group string) *Gate, informed func() bool, heard func(member string) (time.Duration, bool)) *Server {
-	return &Server{incarnation: incarnation, gates: gates, informed: informed, heard: heard}
+// the store, now for how long it has run, heard how long ago a member answered.
+func NewServer(incarnation string, gates func(group string) *Gate, informed func() bool, now func() time.Duration, heard func(member string) (time.Duration, bool)) *Server {
+	return &Server{incarnation: incarnation, gates: gates, informed: informed, now: now, heard: heard, attested: make(map[string]time.Duration)}
 }
 
 // Release implements leadpb.CoordinationServer.
@@ -80,7 +84,13 @@
 	if err := s.gates(req.Group).Release(ctx, req.Revision, time.Duration(req.DrainUs)*time.Microsecond); err != nil {
 		return nil, err
 	}
-	return &leadpb.ReleaseReply{Incarnation: s.incarnation}, nil
+	reply := &leadpb.ReleaseReply{Incarnation: s.incarnation, UptimeUs: s.now().Microseconds(), AttestedUs: make(map[string]int64)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, at := range s.attested {
+		reply.AttestedUs[name] = (s.now() - at).Microseconds()
+	}
+	return reply, nil
 }
 
 // Witness implements leadpb.CoordinationServer.
@@ -95,6 +105,9 @@
 	if !s.informed() {
 		return nil, errUninformed
 	}
+	s.mu.Lock()
+	s.attested[req.From] = s.now()
+	s.mu.Unlock()
 	reply := &leadpb.AttestReply{}
 	for _, known := range req.Known {
 		if news, newer := s.gates(known.Group).NewsSince(known.Revision); newer {
--- a/internal/lead/property_test.go
+++ b/internal/lead/property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 )
 
 func init() {
@@ -22,13 +23,17 @@
 
 // simulated is one instance with a clock of its own.
 type simulated struct {
-	grant   Grant
-	rate    float64 // of its clock
-	offset  time.Duration
-	asked   time.Duration // when the call under way was sent, on its clock
-	seen    int64         // revision of the record that the answer will show
-	record  Record
-	waiting bool // a call is under way
+	name      string
+	started   time.Duration            // on its clock
+	attested  map[string]time.Duration // when others last asked, on its clock
+	goneSince time.Duration            // when the leader saw its lease gone, on the leader's clock; 0: it holds
+	grant     Grant
+	rate      float64 // of its clock
+	offset    time.Duration
+	asked     time.Duration // when the call under way was sent, on its clock
+	seen      int64         // revision of the record that the answer will show
+	record    Record
+	waiting   bool // a call is under way
 }
 
 func (s *simulated) now(truth time.Duration) time.Duration {
@@ -55,8 +60,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t, record: Record{Group: "g", Primary: "m0", Term: 1}, revision: 1, rate: drawRate(t)}
 		for range rapid.IntRange(1, 6).Draw(t, "instances") {
+			offset := time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second
 			w.instances = append(w.instances, &simulated{
-				rate: drawRate(t), offset: time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second,
+				name: fmt.Sprint(len(w.instances)), rate: drawRate(t), offset: offset, started: offset,
+				attested: make(map[string]time.Duration),
 			})
 		}
 		for change := range rapid.IntRange(1, 3).Draw(t, "changes") {
@@ -83,14 +90,14 @@
 	for _, s := range w.instances {
 		if rapid.Bool().Draw(w.t, "reached") {
 			s.grant.Release(w.revision)
-			r.note(w.leaderNow())
+			r.note(w.leaderNow(), w.reply(s))
 		} else {
 			unreached = append(unreached, s)
 		}
 		w.steps()
 	}
 	if len(unreached) > 0 {
-		for !r.lapsed(w.leaderNow()) {
+		for !w.allLapsed(r, unreached) {
 			w.truth += 100 * time.Millisecond
 			if rapid.IntRange(0, 9).Draw(w.t, "something happens") == 0 {
 				w.steps()
@@ -110,13 +117,36 @@
 	w.revision++
 }
 
+// allLapsed reports what the leader believes of the instances it cannot reach.
+func (w *world) allLapsed(r *release, unreached []*simulated) bool {
+	for _, s := range unreached {
+		if !r.lapsed(w.leaderNow(), s.name, s.goneSince) {
+			return false
+		}
+	}
+	return true
+}
+
+// reply returns what an instance tells the leader that asks it to release.
+func (w *world) reply(s *simulated) *leadpb.ReleaseReply {
+	reply := &leadpb.ReleaseReply{UptimeUs: (s.now(w.truth) - s.started).Microseconds(), AttestedUs: make(map[string]int64)}
+	for name, at := range s.attested {
+		reply.AttestedUs[name] = (s.now(w.truth) - at).Microseconds()
+	}
+	return reply
+}
+
 // steps lets time pass, answers of the store come late or never, and rounds of
 // attestation take place among those who reach one another.
 func (w *world) steps() {
 	for range rapid.IntRange(0, 6).Draw(w.t, "steps") {
 		w.truth += time.Duration(rapid.IntRange(0, 4000).Draw(w.t, "ms")) * time.Millisecond
 		s := w.instances[rapid.IntRange(0, len(w.instances)-1).Draw(w.t, "instance")]
-		switch rapid.SampledFrom([]string{"store", "store", "attest"}).Draw(w.t, "what") {
+		switch rapid.SampledFrom([]string{"store", "store", "attest", "gone"}).Draw(w.t, "what") {
+		case "gone":
+			if s.goneSince == 0 {
+				s.goneSince = max(1, w.leaderNow())
+			}
 		case "store":
 			w.callStore(s)
 		case "attest":
@@ -126,6 +156,9 @@
 }
 
 func (w *world) callStore(s *simulated) {
+	if s.goneSince > 0 && !s.waiting {
+		return // its entry is gone, so that no answer confirms its grants
+	}
 	if !s.waiting {
 		s.asked, s.waiting = s.now(w.truth), true
 		s.record, s.seen = w.record, w.revision // answered at once, delivered later
@@ -150,6 +183,7 @@
 			continue
 		}
 		answers++
+		other.attested[s.name] = other.now(w.truth)
 		if news, newer := other.grant.NewsSince(known); newer {
 			objected = true
 			s.grant.Hear(news)
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -207,6 +207,12 @@
 	return registered
 }
 
+// MissingSince returns since when a registered instance has not been alive.
+func (v *View) MissingSince(name string) (time.Duration, bool) {
+	since, missing := v.missing[name]
+	return since, missing
+}
+
 // Forgettable returns the instances that have been gone for so long that their
 // grants have lapsed, with the revisions of their entries. These are removed, so
 // that processes which start later know it as well.
