--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -262,6 +263,41 @@
 	f.call(1, "strict").writeUntilDone("after")
 }
 
+// A request that has arrived when its session is about to be closed is answered.
+func TestRequestThatArrivesDuringTheStopIsAnswered(t *testing.T) {
+	f := newFleet(t, 2)
+	callers := make([]*testCaller, 20)
+	for n := range callers {
+		callers[n] = f.call(0, "strict")
+	}
+	stopped := make(chan struct{})
+	go func() {
+		f.instances[0].Stop()
+		close(stopped)
+	}()
+	var wg sync.WaitGroup
+	cut := make(chan string, len(callers))
+	for _, c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				line, _ := c.query("WRITE 1 x")
+				if !strings.HasPrefix(line, "COMPLETE") {
+					cut <- line
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	<-stopped
+	close(cut)
+	for line := range cut {
+		must.Eq(t, "", line, must.Sprint("closed between two statements, not refused"))
+	}
+}
+
 func leaseOf(i *Instance) kv.LeaseID { return kv.LeaseID(i.lease.Load()) }
 
 // rows returns the rows of an answer.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -29,6 +29,8 @@
 	Answer(a statement.Answer) error
 	// Refuse sends an error after which the connection ends.
 	Refuse(e *statement.Error) error
+	// Quiet reports whether the caller has sent nothing that was not read yet.
+	Quiet() bool
 	// SetReadDeadline bounds the wait in Next.
 	SetReadDeadline(t time.Time) error
 	// Close ends the connection.
@@ -195,10 +197,14 @@
 func (c *callerConn) await() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.server.isClosing() && !c.inTx {
+	closing := c.server.isClosing()
+	if closing && !c.inTx && c.caller.Quiet() {
 		return false
 	}
 	var deadline time.Time
+	if closing && !c.inTx {
+		deadline = time.Now().Add(stopNudge) // for the rest of what has begun to arrive
+	}
 	if limit := c.server.relay.snapshot().Config.IdleInTransaction; c.inTx && limit > 0 {
 		deadline = time.Now().Add(limit)
 	}
@@ -212,7 +218,7 @@
 		c.setBusy(false)
 		return true
 	}
-	return !c.server.isClosing()
+	return true // await tells whether the session ends
 }
 
 func (c *callerConn) setBusy(busy bool) {
