--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -22,9 +22,14 @@
 	// maxWatch keeps the grants confirmed: an answer confirms them from when its
 	// call was sent, so that they are up to two watches old, and last 15 s.
 	maxWatch = 3 * time.Second
-	// watchPause is the pause after changes came, so that those which come in quick
-	// succession, as at a start, are read by one call.
-	watchPause = 40 * time.Millisecond
+	// minWatchPause and maxWatchPause bound the pause after changes came. It doubles
+	// while they come in quick succession, as at a start, so that one call reads
+	// many of them; a configuration must be in force within 3 s.
+	minWatchPause = 30 * time.Millisecond
+	maxWatchPause = 400 * time.Millisecond
+	// quickSuccession is how soon after a watch was sent changes must have come to
+	// count as such.
+	quickSuccession = 500 * time.Millisecond
 	// storeTimeout bounds any other call.
 	storeTimeout = 1500 * time.Millisecond
 	// minStorePause and maxStorePause bound the pause after a failed call. Each
@@ -49,13 +54,13 @@
 // follow keeps the picture of the store up to date.
 func (i *Instance) follow() error {
 	log := i.part("follower")
-	pause := minStorePause
+	pause, rest := minStorePause, minWatchPause
 	var revision int64
 	listed, lost := false, false
 	for i.ctx.Err() == nil {
 		var err error
 		if listed {
-			revision, err = i.watchOnce(revision, lost)
+			revision, err = i.watchOnce(revision, lost, &rest)
 		} else {
 			revision, err = i.listOnce()
 		}
@@ -95,7 +100,9 @@
 	return revision, nil
 }
 
-func (i *Instance) watchOnce(after int64, afterFailure bool) (int64, error) {
+// watchOnce waits for changes after a revision. pause is how long it rests after
+// such, and is kept by the caller from one watch to the next.
+func (i *Instance) watchOnce(after int64, afterFailure bool, pause *time.Duration) (int64, error) {
 	wait := min(maxWatch, i.settings.StoreSilence-watchSlack-watchMargin)
 	if afterFailure {
 		wait = time.Millisecond // an answer soon confirms the grants
@@ -109,7 +116,11 @@
 	}
 	i.take(change{events: events, sent: sent})
 	if len(events) > 0 {
-		sleep(i.ctx, watchPause)
+		*pause = min(2**pause, maxWatchPause)
+		if i.now()-sent > quickSuccession {
+			*pause = minWatchPause
+		}
+		sleep(i.ctx, *pause)
 	}
 	return revision, nil
 }
