Explaining a failure: lines with inputs and their age, bounded; explain-request; metrics

Each failed statement tells its route, configuration version, member, authority with the record that it rests on, required position and the age of the newest sample; served ones do at log_level = debug, which SIGHUP reads again. stackspindle explain-request ID reads the logs of several instances. The metrics address serves statements by kind and outcome, pools by member, and the state of groups, store and configuration.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -43,6 +43,7 @@
 			serveCommand(),
 			checkCommand(),
 			versionCommand(),
+			explainRequestCommand(),
 		}, operatorCommands()...),
 	}
 }
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -22,7 +22,10 @@
 	writer := logs.NewWriter(os.Stdout)
 	defer writer.Close()
 	log.SetOutput(writer)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
+	if level, err := logrus.ParseLevel(settings.Fleet.LogLevel); err == nil {
+		log.SetLevel(level) // the settings were checked
+	}
 	inst, err := fleet.New(fleetSettings(settings), usersPlatform(settings), log)
 	if err != nil {
 		return err
@@ -48,16 +51,23 @@
 	}
 }
 
-// reload reads the settings file again. All that an instance has there is bound
-// to listeners and names, which stay as they are for the life of the process; so
-// the file is checked, and what is wrong with it is told before the next start.
+// logTime is the form of times in the log: milliseconds, by the time of day.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
+// reload reads the settings file again and takes the log level from it. All else
+// there is bound to listeners and names, which stay as they are for the life of
+// the process; what is wrong with it is told before the next start.
 func reload(path string, log *logrus.Logger) {
 	entry := log.WithField("part", "settings").WithField("file", path)
-	if _, err := config.Load(path); err != nil {
+	settings, err := config.Load(path)
+	if err != nil {
 		entry.WithError(err).Error("settings: the file has findings; the settings from the start stay in force")
 		return
 	}
-	entry.Info("settings: read again")
+	if level, err := logrus.ParseLevel(settings.Fleet.LogLevel); err == nil {
+		log.SetLevel(level)
+	}
+	entry.WithField("log_level", settings.Fleet.LogLevel).Info("settings: read again")
 }
 
 func fleetSettings(s *config.Settings) fleet.Settings {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gopkg.in/ini.v1"
 
 	"github.com/stackspindle/stackspindle/internal/caller"
@@ -75,6 +76,8 @@
 	// StoreSilence is the time within which it must be noticed that the store is
 	// silent. A watch is shorter, so that one whose answer was lost ends in it.
 	StoreSilence time.Duration
+
+	LogLevel string // info, or debug for a line on each statement; read again on SIGHUP
 }
 
 // Defaults returns the settings of an instance for which nothing is configured.
@@ -89,7 +92,7 @@
 		Credentials:     make(map[string]string),
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
-		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second},
+		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info"},
 	}
 }
 
@@ -290,6 +293,7 @@
 		{"fleet", "grace"}:                     duration(&s.Fleet.Grace),
 		{"fleet", "lease"}:                     duration(&s.Fleet.Lease),
 		{"fleet", "store_silence"}:             duration(&s.Fleet.StoreSilence),
+		{"fleet", "log_level"}:                 logLevel(&s.Fleet.LogLevel),
 	}
 }
 
@@ -331,6 +335,16 @@
 	return nil
 }
 
+func logLevel(target *string) setter {
+	return func(value string) error {
+		if _, err := logrus.ParseLevel(value); err != nil {
+			return fmt.Errorf("%q is not a log level: debug, info, warning or error", value)
+		}
+		*target = value
+		return nil
+	}
+}
+
 func boolean(target *bool) setter {
 	return func(value string) error {
 		parsed, err := strconv.ParseBool(value)
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -291,7 +291,31 @@
 	i.part("instance").Info("instance: stopped")
 }
 
+// serveMetrics writes the counters and histograms of the parts, and how things
+// stand now.
 func (i *Instance) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	i.set.WritePrometheus(w)
+	i.upstreams.WriteMetrics(w)
+	now := i.now()
+	metrics.WriteGaugeUint64(w, "stackspindle_callers", uint64(i.callers.Callers()))
+	metrics.WriteGaugeUint64(w, "stackspindle_config_version", uint64(i.topology.Load().Version))
+	metrics.WriteGaugeFloat64(w, "stackspindle_store_confirmed_seconds", (now - time.Duration(i.heardAt.Load())).Seconds())
+	metrics.WriteGaugeUint64(w, "stackspindle_registered", boolMetric(i.lease.Load() != 0))
+	metrics.WriteGaugeUint64(w, "stackspindle_ready", boolMetric(i.Ready()))
+	i.relay.Gates(func(group string, g *lead.Gate) {
+		labels := `{group="` + group + `"}`
+		authority, err := g.Authority()
+		leader, _ := i.view.Load().Leader(group)
+		metrics.WriteGaugeUint64(w, "stackspindle_group_has_primary"+labels, boolMetric(err == nil))
+		metrics.WriteGaugeUint64(w, "stackspindle_group_term"+labels, authority.Term)
+		metrics.WriteGaugeUint64(w, "stackspindle_group_led_here"+labels, boolMetric(leader.Incarnation == i.self.Incarnation))
+	})
 	metrics.WriteProcessMetrics(w)
 }
+
+func boolMetric(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/fleet/register.go
+++ b/internal/fleet/register.go
@@ -102,6 +102,7 @@
 
 // Event implements lead.Surroundings.
 func (s surroundings) Event(kind, group, member string, term uint64, text string) {
+	s.i.set.GetOrCreateCounter(`stackspindle_events_total{kind="` + kind + `"}`).Inc()
 	e := s.i.ring.Add(timeline.Event{Kind: kind, Group: group, Member: member, Term: term, Text: text})
 	s.i.part("timeline").WithField("kind", e.Kind).WithField("group", e.Group).WithField("member", e.Member).
 		WithField("term", e.Term).Info("timeline: " + e.Text)
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -66,6 +66,9 @@
 	offered  bool // a member that could run it was asked
 	tries    int
 	why      string // the last refusal, for the caller and the log
+
+	lastMember string         // that was tried last
+	lastAfter  group.Position // what its log had to hold
 }
 
 // outcome is how one try at a member ended.
@@ -254,6 +257,7 @@
 // tryUnder has one member run the statement.
 func (a *attempt) tryUnder(ctx context.Context, up *upstream, pass *lead.Pass, b *breaker, after group.Position, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay := a.s.relay
+	a.lastMember, a.lastAfter = up.member.ID, after
 	lease, err := up.pool.Acquire(ctx, pool.Request{
 		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
 		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/logs"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -20,6 +21,7 @@
 	upstreams *Upstreams
 	log       *logrus.Entry
 	set       *metrics.Set
+	limiter   *logs.Limiter
 
 	mu    sync.Mutex // guards gates
 	gates map[string]*lead.Gate
@@ -28,10 +30,12 @@
 // New returns a relay of an instance in a data centre, whose times count from
 // started, on the steady clock.
 func New(started time.Time, dataCentre string, topology func() *topology.Snapshot, upstreams *Upstreams, log *logrus.Entry, set *metrics.Set) *Relay {
-	return &Relay{
+	r := &Relay{
 		started: started, near: dataCentre, topology: topology, upstreams: upstreams, log: log, set: set,
 		gates: make(map[string]*lead.Gate),
 	}
+	r.limiter = logs.NewLimiter(r.now)
+	return r
 }
 
 // Gate returns the gate of a group's primary.
@@ -79,29 +83,59 @@
 	}
 }
 
-// observe counts and logs the end of a first statement.
+// observe counts and logs the end of a first statement. What succeeded is logged
+// where the level asks for it.
 func (r *Relay) observe(a *attempt, answer statement.Answer) {
 	outcome := "ok"
 	if answer.Err != nil {
 		outcome = answer.Err.Code.String()
 	}
 	took := r.now() - a.arrived
-	r.set.GetOrCreateCounter(`stackspindle_statements_total{outcome="` + outcome + `"}`).Inc()
-	r.set.GetOrCreateHistogram("stackspindle_statement_seconds").Update(took.Seconds())
+	kind := consistencyNames[a.route.Consistency]
+	r.set.GetOrCreateCounter(`stackspindle_statements_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
+	r.set.GetOrCreateHistogram(`stackspindle_statement_seconds{kind="` + kind + `"}`).Update(took.Seconds())
 	if answer.Err == nil {
+		if r.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+			r.line(a, outcome, took, 0).Debug("relay: a statement was served")
+		}
 		return
 	}
-	authority, err := a.gate.Authority()
-	r.log.WithFields(logrus.Fields{
-		"request": a.st.ID, "database": a.route.Database, "group": a.route.Group, "config_version": r.snapshot().Version,
-		"outcome": outcome, "detail": answer.Err.Detail, "took_ms": took.Milliseconds(), "offered": a.offered, "rounds": a.tries,
-		"primary": authority.Primary, "record": authority.Revision, "no_primary": err, "read": a.reads,
-	}).Info("relay: a statement did not succeed")
+	if leftOut, ok := r.limiter.Allow(outcome + a.route.Group); ok {
+		r.line(a, outcome, took, leftOut).WithField("detail", answer.Err.Detail).Info("relay: a statement did not succeed")
+	}
+}
+
+// consistencyNames name the kinds of routes in logs and metrics.
+var consistencyNames = map[topology.Consistency]string{
+	topology.Strict: "strict", topology.BoundedStaleness: "bounded", topology.ReadYourWrites: "own_writes",
+}
+
+// line returns a log line with what decided about a statement: the route and the
+// version that it is of, the authority with the record that it rests on, and the
+// member that was used last.
+func (r *Relay) line(a *attempt, outcome string, took time.Duration, leftOut int) *logrus.Entry {
+	fields := logrus.Fields{
+		"request": a.st.ID, "database": a.route.Database, "group": a.route.Group, "kind": consistencyNames[a.route.Consistency],
+		"config_version": r.snapshot().Version, "outcome": outcome, "took_ms": took.Milliseconds(),
+		"read": a.reads, "offered": a.offered, "rounds": a.tries, "member": a.lastMember, "after": a.lastAfter.String(),
+		"sample_age_ms": a.group.sampleAge(r.now()).Milliseconds(),
+	}
+	if authority, err := a.gate.Authority(); err == nil {
+		fields["primary"], fields["term"], fields["record"] = authority.Primary, authority.Term, authority.Revision
+	} else {
+		fields["no_primary"] = err.Error()
+	}
+	if leftOut > 0 {
+		fields["left_out"] = leftOut
+	}
+	return r.log.WithFields(fields)
 }
 
 // logLost records a statement whose answer did not arrive.
 func (r *Relay) logLost(s *session, st statement.Statement, id string, cause error) {
-	r.set.GetOrCreateCounter("stackspindle_lost_answers_total").Inc()
-	r.log.WithFields(logrus.Fields{"request": st.ID, "database": s.database, "member": id}).WithError(cause).
-		Info("relay: an answer did not arrive")
+	r.set.GetOrCreateCounter(`stackspindle_lost_answers_total{member="` + id + `"}`).Inc()
+	if leftOut, ok := r.limiter.Allow("lost" + id); ok {
+		r.log.WithFields(logrus.Fields{"request": st.ID, "database": s.database, "member": id, "left_out": leftOut}).WithError(cause).
+			Info("relay: an answer did not arrive")
+	}
 }
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/connpool"
@@ -222,6 +224,18 @@
 	}
 }
 
+// WriteMetrics writes the state of the pools.
+func (u *Upstreams) WriteMetrics(w io.Writer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, up := range u.members {
+		labels := `{group="` + up.member.Group + `",member="` + id + `"}`
+		metrics.WriteGaugeUint64(w, "stackspindle_member_connections"+labels, uint64(up.pool.Open()))
+		metrics.WriteGaugeUint64(w, "stackspindle_member_in_use"+labels, uint64(up.pool.InUse()))
+		metrics.WriteGaugeUint64(w, "stackspindle_member_waiting"+labels, uint64(up.pool.Waiting()))
+	}
+}
+
 // Shrink closes connections that have not been used for a while.
 func (u *Upstreams) Shrink() {
 	u.mu.Lock()
@@ -335,6 +349,17 @@
 	return g.samples.Behind(now, p)
 }
 
+// sampleAge returns how old the newest sample is, negative without one.
+func (g *groupState) sampleAge(now time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.samples.Newest()
+	if !ok {
+		return -1
+	}
+	return now - at
+}
+
 // age returns how long ago a position was the end of the primary's log.
 func (g *groupState) age(now time.Duration, p group.Position) time.Duration {
 	g.mu.Lock()
