--- a/internal/lead/attest.go
+++ b/internal/lead/attest.go
@@ -29,24 +29,13 @@
 	}
 	round := &attestation{needed: Quorum(len(registered)), answers: 1, news: make(map[string][]*leadpb.GroupNews)}
 	sent := c.now()
-	var wg sync.WaitGroup
-	for _, instance := range registered {
-		if instance.Name == c.self.Name {
-			continue
+	c.askOthers(registered, func(_ Instance, client leadpb.CoordinationClient) error {
+		reply, err := client.Attest(ctx, req)
+		if err == nil {
+			round.note(reply)
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			client, err := c.peers.client(instance.Address)
-			if err != nil {
-				return // no attestation
-			}
-			if reply, err := client.Attest(ctx, req); err == nil {
-				round.note(reply)
-			}
-		}()
-	}
-	wg.Wait()
+		return err
+	})
 	c.applyAttestation(req, round, sent)
 	c.log.WithFields(logrus.Fields{"answers": round.answers, "needed": round.needed, "newer": len(round.news)}).
 		Info("lead: the other instances were asked to attest, since the store does not answer")
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,7 +12,6 @@
 
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
-	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -164,19 +162,18 @@
 		return nil, fmt.Errorf("%w: its record is another now", errNotLeader)
 	}
 	cleared := c.clearGrants(ctx, group, revision, change, record)
+	if !cleared.done && !cleared.wellHere {
+		return nil, errGrantsRemain
+	}
+	record.Change = nil
 	if cleared.wellHere {
 		c.log.WithFields(logrus.Fields{"group": group, "member": record.Primary}).Info("lead: the primary is well again and stays")
-		record.Change = nil
 		return &outcome{record: record, revision: revision}, nil
 	}
-	if !cleared.done {
-		return nil, errGrantsRemain
-	}
 	candidate, found, err := c.choose(ctx, group, record, change, cleared.last.Received)
 	if err != nil {
 		return nil, err
 	}
-	record.Change = nil
 	if found.Primary {
 		record.Primary, record.Term = candidate.ID, found.Term
 		return &outcome{record: record, revision: revision}, nil
@@ -192,13 +189,7 @@
 			return nil, err
 		}
 	}
-	promoteCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
-	err = c.promoter.Promote(promoteCtx, group, candidate.ID, c.self.Name, record.Generation)
-	cancel()
-	c.log.WithFields(logrus.Fields{
-		"group": group, "member": candidate.ID, "generation": record.Generation, "position": found.Received.String(), "error": err,
-	}).Info("lead: the platform was asked to promote")
-	status, err := c.awaitLead(ctx, candidate, record.Term)
+	status, err := c.promote(ctx, record, candidate, found.Received)
 	if err != nil {
 		return nil, err
 	}
@@ -206,221 +197,16 @@
 	return &outcome{record: record, revision: revision}, nil
 }
 
-// clearing is how the end of the old primary's use was reached.
-type clearing struct {
-	done     bool          // no instance uses the old primary any more
-	wellHere bool          // or it is well after all, and stays
-	last     member.Status // what the old primary said when it stepped down
-}
-
-// clearGrants returns once no instance uses the old primary any more, or once
-// that one is found to be well and need not be replaced.
-func (c *Controller) clearGrants(ctx context.Context, group string, revision int64, change Change, record Record) clearing {
-	drain := urgentDrain
-	if change.Planned {
-		drain = plannedDrain
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	announced := c.now()
-	released := make(chan error, 1)
-	go func() { released <- c.releaseAll(ctx, group, revision, drain, announced) }()
-	patience := releaseTimeout
-	if change.Planned {
-		patience += drain // what is open gets its time before the old primary stops writing
-	}
-	for {
-		select {
-		case err := <-released:
-			return clearing{done: err == nil, last: c.lastWords(ctx, change, record)}
-		case <-time.After(patience):
-		case <-ctx.Done():
-			return clearing{}
-		}
-		old, known := c.around.Topology().Members[record.Primary]
-		if !known {
-			continue
-		}
-		if !change.Planned && !old.Draining && c.leads(ctx, old, record.Term) {
-			return clearing{wellHere: true}
-		}
-		if status, ok := c.stepDown(ctx, old, record.Term); ok {
-			return clearing{done: true, last: status}
-		}
-	}
-}
-
-// lastWords returns what a primary that is replaced as planned says when it
-// steps down, so that its successor can be awaited to have received all of it.
-func (c *Controller) lastWords(ctx context.Context, change Change, record Record) member.Status {
-	old, known := c.around.Topology().Members[record.Primary]
-	if !change.Planned || !known {
-		return member.Status{}
-	}
-	status, _ := c.stepDown(ctx, old, record.Term)
-	return status
-}
-
-// leads reports whether a member answers as the primary of a term.
-func (c *Controller) leads(ctx context.Context, m topology.Member, term uint64) bool {
-	f := c.askOne(ctx, m)
-	if f == nil {
-		return false
-	}
-	c.log.WithFields(logrus.Fields{"member": m.ID, "leads": f.status.Primary, "term": f.status.Term, "record_term": term}).
-		Info("lead: the primary that is to be replaced has answered")
-	return f.status.Primary && f.status.Term == term
-}
-
-// stepDown makes the old primary a replica, if it can be reached.
-func (c *Controller) stepDown(ctx context.Context, old topology.Member, term uint64) (member.Status, bool) {
-	log := c.log.WithFields(logrus.Fields{"member": old.ID, "term": term})
-	conn, err := c.connect(ctx, old)
-	if err != nil {
-		log.WithError(err).Info("lead: the old primary could not be told to step down")
-		return member.Status{}, false
-	}
-	defer conn.Close()
-	status, err := conn.StepDown(time.Now().Add(probeTimeout), term+1)
-	log.WithField("leads", status.Primary).WithField("position", status.Received.String()).WithError(err).
-		Info("lead: the old primary was told to step down")
-	return status, err == nil && !status.Primary
-}
-
-func (c *Controller) connect(ctx context.Context, m topology.Member) (member.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	return c.dialer.Dial(ctx, m)
-}
-
-// releaseAll returns once every registered instance has released its grant, or
-// the grant of each that did not has lapsed.
-func (c *Controller) releaseAll(ctx context.Context, group string, revision int64, drain time.Duration, announced time.Duration) error {
-	registered := c.around.View().Registered(c.now())
-	r := &release{group: group, revision: revision, drain: drain, announced: announced, missing: Quorum(len(registered))}
-	var wg sync.WaitGroup
-	for _, instance := range registered {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			c.releaseOne(ctx, r, instance)
-		}()
-	}
-	wg.Wait()
-	return ctx.Err()
-}
-
-// release is the end of all grants of a record. Times are of the leader's clock.
-type release struct {
-	group     string
-	revision  int64
-	drain     time.Duration
-	announced time.Duration
-
-	mu       sync.Mutex // guards the rest
-	missing  int        // instances that must still release until there is a quorum
-	quorumAt time.Duration
-	attested map[string]time.Duration // when one that released last attested an instance, by name
-	oldest   time.Duration            // since when all that released know whom they attested
-}
-
-// note counts an instance that has released and says whom it attested.
-func (r *release) note(now time.Duration, reply *leadpb.ReleaseReply) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.missing--
-	if r.missing == 0 {
-		r.quorumAt = now
-	}
-	r.oldest = max(r.oldest, now-time.Duration(reply.UptimeUs)*time.Microsecond)
-	if r.attested == nil {
-		r.attested = make(map[string]time.Duration)
-	}
-	for name, age := range reply.AttestedUs {
-		r.attested[name] = max(r.attested[name], now-time.Duration(age)*time.Microsecond)
-	}
-}
-
-// lapsed reports whether the grant of an instance that did not release is over.
-// goneSince is since when its lease has been gone, zero when it holds: the store
-// has not confirmed its grant since. Before there is a quorum of releases a grant
-// may be attested for as long as that can replace the store.
-func (r *release) lapsed(now time.Duration, name string, goneSince time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.missing > 0 {
-		return now-r.announced >= storelessLapsed
-	}
-	confirmed := max(r.announced, r.quorumAt)
-	if goneSince > 0 {
-		// No quorum has attested it later than the latest of those that released.
-		confirmed = min(confirmed, max(goneSince, r.attested[name], r.oldest))
-	}
-	return now-confirmed >= grantsLapsed
-}
-
-func (c *Controller) releaseOne(ctx context.Context, r *release, instance Instance) {
-	if instance.Name == c.self.Name {
-		if reply, err := c.own.Release(ctx, r.request()); err == nil {
-			r.note(c.now(), reply)
-		}
-		return
-	}
-	for tries := 0; ctx.Err() == nil; tries++ {
-		goneSince, _ := c.around.View().MissingSince(instance.Name)
-		if r.lapsed(c.now(), instance.Name, goneSince) {
-			return
-		}
-		reply, err := c.callRelease(ctx, r, instance)
-		if err == nil {
-			r.note(c.now(), reply)
-			return
-		}
-		if !c.stillRegistered(instance) {
-			return
-		}
-		if tries%releaseLogEvery == 0 {
-			c.log.WithFields(logrus.Fields{"group": r.group, "instance": instance.Name, "waited": c.now() - r.announced, "tries": tries + 1}).
-				WithError(err).Info("lead: an instance has not released its grant")
-		}
-		pause(ctx, releaseRetry)
-	}
-}
-
-// releaseLogEvery is at which tries a line is logged: one in two seconds or so.
-const releaseLogEvery = 20
-
-// stillRegistered reports whether the process may hold a grant: it does not once
-// another process has registered under its name, or its grants have lapsed.
-func (c *Controller) stillRegistered(instance Instance) bool {
-	for _, now := range c.around.View().Registered(c.now()) {
-		if now.Name == instance.Name {
-			return now.Incarnation == instance.Incarnation
-		}
-	}
-	return false
-}
-
-func (r *release) request() *leadpb.ReleaseRequest {
-	return &leadpb.ReleaseRequest{Group: r.group, Revision: r.revision, DrainUs: r.drain.Microseconds()}
-}
-
-func (c *Controller) callRelease(ctx context.Context, r *release, instance Instance) (*leadpb.ReleaseReply, error) {
-	client, err := c.peers.client(instance.Address)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, r.drain+releaseTimeout)
+// promote asks the platform to make a member the primary and waits until it leads.
+func (c *Controller) promote(ctx context.Context, record Record, candidate topology.Member, position group.Position) (member.Status, error) {
+	promoteCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	// Any process that answers at the address has released, or holds no grant:
-	// another than the one asked for began after that one's end.
-	return client.Release(ctx, r.request())
-}
-
-// found is what a member said of itself.
-type found struct {
-	member topology.Member
-	status member.Status
+	err := c.promoter.Promote(promoteCtx, record.Group, candidate.ID, c.self.Name, record.Generation)
+	c.log.WithFields(logrus.Fields{
+		"group": record.Group, "member": candidate.ID, "generation": record.Generation, "position": position.String(), "error": err,
+	}).Info("lead: the platform was asked to promote")
+	// What came of a call whose answer was lost shows at the member.
+	return c.awaitLead(ctx, candidate, record.Term)
 }
 
 // choose returns the member that should lead: one that leads already in a newer
@@ -446,64 +232,6 @@
 	}
 }
 
-// askAll asks members for their status, all at once. The one that is suspected of
-// being dead is not waited for when all others have answered.
-func (c *Controller) askAll(ctx context.Context, members []topology.Member, suspect string) []found {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type reply struct {
-		from string
-		said *found
-	}
-	replies := make(chan reply, len(members))
-	others := 0
-	for _, m := range members {
-		if m.ID != suspect {
-			others++
-		}
-		go func() { replies <- reply{from: m.ID, said: c.askOne(ctx, m)} }()
-	}
-	var answered []found
-	var grace <-chan time.Time
-	for pending := len(members); pending > 0; pending-- {
-		select {
-		case r := <-replies:
-			if r.said != nil {
-				answered = append(answered, *r.said)
-			}
-			if r.from != suspect {
-				others--
-			}
-			if others <= 0 && grace == nil {
-				grace = time.After(suspectGrace)
-			}
-		case <-grace:
-			return answered
-		}
-	}
-	return answered
-}
-
-// suspectGrace is how much longer a suspect is waited for: some round trips
-// between data centres.
-const suspectGrace = 20 * time.Millisecond
-
-// askOne returns what a member says of itself, nil when it does not answer.
-func (c *Controller) askOne(ctx context.Context, m topology.Member) *found {
-	conn, err := c.connect(ctx, m)
-	if err != nil {
-		c.log.WithField("member", m.ID).WithError(err).Info("lead: a member could not be asked for its status")
-		return nil
-	}
-	defer conn.Close()
-	status, err := conn.Status(time.Now().Add(probeTimeout))
-	if err != nil {
-		c.log.WithField("member", m.ID).WithError(err).Info("lead: a member could not be asked for its status")
-		return nil
-	}
-	return &found{member: m, status: status}
-}
-
 // awaitLead returns once a member leads in a term above another.
 func (c *Controller) awaitLead(ctx context.Context, m topology.Member, above uint64) (member.Status, error) {
 	until := c.now() + promoteWait
@@ -532,33 +260,6 @@
 	return member.Status{}, fmt.Errorf("member %s does not lead after the promotion", m.ID)
 }
 
-// publish tells the outcome to all instances, without waiting for the store.
-func (c *Controller) publish(ctx context.Context, group string, out *outcome) {
-	c.around.Gate(group).Settle(out.record, out.revision)
-	req := &leadpb.PublishRequest{Group: group, Revision: out.revision, Record: encode(out.record)}
-	var wg sync.WaitGroup
-	for _, instance := range c.around.View().Registered(c.now()) {
-		if instance.Name == c.self.Name {
-			continue
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			client, err := c.peers.client(instance.Address)
-			if err != nil {
-				return // it learns the outcome from the store
-			}
-			callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
-			defer cancel()
-			if _, err := client.Publish(callCtx, req); err != nil {
-				c.log.WithFields(logrus.Fields{"group": group, "instance": instance.Name}).WithError(err).
-					Info("lead: an instance was not told of the new primary; it learns it from the store")
-			}
-		}()
-	}
-	wg.Wait()
-}
-
 // recordOutcome writes the outcome of a change into the store. Until that succeeds each
 // tick tries again.
 func (c *Controller) recordOutcome(ctx context.Context, group string, g *ledGroup) {
@@ -589,37 +290,6 @@
 	c.around.Event("primary", group, record.Primary, record.Term, "found as the primary")
 }
 
-// witnessed asks the other instances whether one of them heard from a member a
-// moment ago, and returns its name.
-func (c *Controller) witnessed(ctx context.Context, id string) (string, bool) {
-	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
-	defer cancel()
-	others := c.around.View().Alive()
-	names := make(chan string, len(others))
-	var wg sync.WaitGroup
-	for _, instance := range others {
-		if instance.Name == c.self.Name {
-			continue
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			client, err := c.peers.client(instance.Address)
-			if err != nil {
-				return // no witness
-			}
-			reply, err := client.Witness(ctx, &leadpb.WitnessRequest{Member: id})
-			if err == nil && reply.Heard && time.Duration(reply.AgeUs)*time.Microsecond < witnessAge {
-				names <- instance.Name
-			}
-		}()
-	}
-	wg.Wait()
-	close(names)
-	name, ok := <-names
-	return name, ok
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/lead/others.go
@@ -0,0 +1,75 @@
+package lead
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
+)
+
+// forEach calls f for all instances at once and returns when all calls have.
+func forEach(instances []Instance, f func(Instance)) {
+	var wg sync.WaitGroup
+	for _, instance := range instances {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(instance)
+		}()
+	}
+	wg.Wait()
+}
+
+// askOthers makes a call of each instance but this one, all at once.
+func (c *Controller) askOthers(instances []Instance, call func(Instance, leadpb.CoordinationClient) error) {
+	forEach(instances, func(instance Instance) {
+		if instance.Name == c.self.Name {
+			return
+		}
+		client, err := c.peers.client(instance.Address)
+		if err == nil {
+			err = call(instance, client)
+		}
+		if err != nil {
+			c.log.WithField("instance", instance.Name).WithError(err).Debug("lead: another instance did not answer")
+		}
+	})
+}
+
+// publish tells the outcome to all instances, without waiting for the store.
+func (c *Controller) publish(ctx context.Context, group string, out *outcome) {
+	c.around.Gate(group).Settle(out.record, out.revision)
+	req := &leadpb.PublishRequest{Group: group, Revision: out.revision, Record: encode(out.record)}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	c.askOthers(c.around.View().Registered(c.now()), func(instance Instance, client leadpb.CoordinationClient) error {
+		_, err := client.Publish(ctx, req)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"group": group, "instance": instance.Name}).WithError(err).
+				Info("lead: an instance was not told of the new primary; it learns it from the store")
+		}
+		return err
+	})
+}
+
+// witnessed asks the other instances whether one of them heard from a member a
+// moment ago, and returns its name.
+func (c *Controller) witnessed(ctx context.Context, id string) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	others := c.around.View().Alive()
+	names := make(chan string, len(others))
+	c.askOthers(others, func(instance Instance, client leadpb.CoordinationClient) error {
+		reply, err := client.Witness(ctx, &leadpb.WitnessRequest{Member: id})
+		if err == nil && reply.Heard && time.Duration(reply.AgeUs)*time.Microsecond < witnessAge {
+			names <- instance.Name
+		}
+		return err
+	})
+	close(names)
+	name, ok := <-names
+	return name, ok
+}
--- /dev/null
+++ b/internal/lead/release.go
@@ -0,0 +1,210 @@
+package lead
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// clearing is how the end of the old primary's use was reached.
+type clearing struct {
+	done     bool          // no instance uses the old primary any more
+	wellHere bool          // or it is well after all, and stays
+	last     member.Status // what the old primary said when it stepped down
+}
+
+// clearGrants returns once no instance uses the old primary any more, or once
+// that one is found to be well and need not be replaced.
+func (c *Controller) clearGrants(ctx context.Context, group string, revision int64, change Change, record Record) clearing {
+	drain := urgentDrain
+	if change.Planned {
+		drain = plannedDrain
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	announced := c.now()
+	released := make(chan error, 1)
+	go func() { released <- c.releaseAll(ctx, group, revision, drain, announced) }()
+	patience := releaseTimeout
+	if change.Planned {
+		patience += drain // what is open gets its time before the old primary stops writing
+	}
+	for {
+		select {
+		case err := <-released:
+			return clearing{done: err == nil, last: c.lastWords(ctx, change, record)}
+		case <-time.After(patience):
+		case <-ctx.Done():
+			return clearing{}
+		}
+		old, known := c.around.Topology().Members[record.Primary]
+		if !known {
+			continue
+		}
+		if !change.Planned && !old.Draining && c.leads(ctx, old, record.Term) {
+			return clearing{wellHere: true}
+		}
+		if status, ok := c.stepDown(ctx, old, record.Term); ok {
+			return clearing{done: true, last: status}
+		}
+	}
+}
+
+// lastWords returns what a primary that is replaced as planned says when it
+// steps down, so that its successor can be awaited to have received all of it.
+func (c *Controller) lastWords(ctx context.Context, change Change, record Record) member.Status {
+	old, known := c.around.Topology().Members[record.Primary]
+	if !change.Planned || !known {
+		return member.Status{}
+	}
+	status, _ := c.stepDown(ctx, old, record.Term)
+	return status
+}
+
+// leads reports whether a member answers as the primary of a term.
+func (c *Controller) leads(ctx context.Context, m topology.Member, term uint64) bool {
+	f := c.askOne(ctx, m)
+	if f == nil {
+		return false
+	}
+	c.log.WithFields(logrus.Fields{"member": m.ID, "leads": f.status.Primary, "term": f.status.Term, "record_term": term}).
+		Info("lead: the primary that is to be replaced has answered")
+	return f.status.Primary && f.status.Term == term
+}
+
+// stepDown makes the old primary a replica, if it can be reached.
+func (c *Controller) stepDown(ctx context.Context, old topology.Member, term uint64) (member.Status, bool) {
+	log := c.log.WithFields(logrus.Fields{"member": old.ID, "term": term})
+	conn, err := c.connect(ctx, old)
+	if err != nil {
+		log.WithError(err).Info("lead: the old primary could not be told to step down")
+		return member.Status{}, false
+	}
+	defer conn.Close()
+	status, err := conn.StepDown(time.Now().Add(probeTimeout), term+1)
+	log.WithField("leads", status.Primary).WithField("position", status.Received.String()).WithError(err).
+		Info("lead: the old primary was told to step down")
+	return status, err == nil && !status.Primary
+}
+
+// releaseAll returns once every registered instance has released its grant, or
+// the grant of each that did not has lapsed.
+func (c *Controller) releaseAll(ctx context.Context, group string, revision int64, drain time.Duration, announced time.Duration) error {
+	registered := c.around.View().Registered(c.now())
+	r := &release{group: group, revision: revision, drain: drain, announced: announced, missing: Quorum(len(registered))}
+	forEach(registered, func(instance Instance) { c.releaseOne(ctx, r, instance) })
+	return ctx.Err()
+}
+
+// release is the end of all grants of a record. Times are of the leader's clock.
+type release struct {
+	group     string
+	revision  int64
+	drain     time.Duration
+	announced time.Duration
+
+	mu       sync.Mutex // guards the rest
+	missing  int        // instances that must still release until there is a quorum
+	quorumAt time.Duration
+	attested map[string]time.Duration // when one that released last attested an instance, by name
+	oldest   time.Duration            // since when all that released know whom they attested
+}
+
+// note counts an instance that has released and says whom it attested.
+func (r *release) note(now time.Duration, reply *leadpb.ReleaseReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.missing--
+	if r.missing == 0 {
+		r.quorumAt = now
+	}
+	r.oldest = max(r.oldest, now-time.Duration(reply.UptimeUs)*time.Microsecond)
+	if r.attested == nil {
+		r.attested = make(map[string]time.Duration)
+	}
+	for name, age := range reply.AttestedUs {
+		r.attested[name] = max(r.attested[name], now-time.Duration(age)*time.Microsecond)
+	}
+}
+
+// lapsed reports whether the grant of an instance that did not release is over.
+// goneSince is since when its lease has been gone, zero when it holds: the store
+// has not confirmed its grant since. Before there is a quorum of releases a grant
+// may be attested for as long as that can replace the store.
+func (r *release) lapsed(now time.Duration, name string, goneSince time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.missing > 0 {
+		return now-r.announced >= storelessLapsed
+	}
+	confirmed := max(r.announced, r.quorumAt)
+	if goneSince > 0 {
+		// No quorum has attested it later than the latest of those that released.
+		confirmed = min(confirmed, max(goneSince, r.attested[name], r.oldest))
+	}
+	return now-confirmed >= grantsLapsed
+}
+
+func (c *Controller) releaseOne(ctx context.Context, r *release, instance Instance) {
+	if instance.Name == c.self.Name {
+		if reply, err := c.own.Release(ctx, r.request()); err == nil {
+			r.note(c.now(), reply)
+		}
+		return
+	}
+	for tries := 0; ctx.Err() == nil; tries++ {
+		goneSince, _ := c.around.View().MissingSince(instance.Name)
+		if r.lapsed(c.now(), instance.Name, goneSince) {
+			return
+		}
+		reply, err := c.callRelease(ctx, r, instance)
+		if err == nil {
+			r.note(c.now(), reply)
+			return
+		}
+		if !c.stillRegistered(instance) {
+			return
+		}
+		if tries%releaseLogEvery == 0 {
+			c.log.WithFields(logrus.Fields{"group": r.group, "instance": instance.Name, "waited": c.now() - r.announced, "tries": tries + 1}).
+				WithError(err).Info("lead: an instance has not released its grant")
+		}
+		pause(ctx, releaseRetry)
+	}
+}
+
+// releaseLogEvery is at which tries a line is logged: one in two seconds or so.
+const releaseLogEvery = 20
+
+// stillRegistered reports whether the process may hold a grant: it does not once
+// another process has registered under its name, or its grants have lapsed.
+func (c *Controller) stillRegistered(instance Instance) bool {
+	for _, now := range c.around.View().Registered(c.now()) {
+		if now.Name == instance.Name {
+			return now.Incarnation == instance.Incarnation
+		}
+	}
+	return false
+}
+
+func (r *release) request() *leadpb.ReleaseRequest {
+	return &leadpb.ReleaseRequest{Group: r.group, Revision: r.revision, DrainUs: r.drain.Microseconds()}
+}
+
+func (c *Controller) callRelease(ctx context.Context, r *release, instance Instance) (*leadpb.ReleaseReply, error) {
+	client, err := c.peers.client(instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.drain+releaseTimeout)
+	defer cancel()
+	// Any process that answers at the address has released, or holds no grant:
+	// another than the one asked for began after that one's end.
+	return client.Release(ctx, r.request())
+}
