--- /dev/null
+++ b/internal/relay/samples_test.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/routing"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true", "rapid.checks": "2000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// statementInFlight was asked of the primary and will be answered.
+type statementInFlight struct {
+	asked    time.Duration
+	position group.Position // end of the log when it ran
+}
+
+// TestRequiredCoversWhatWasAcknowledged runs statements on a primary whose log
+// grows, through changes of term, with answers that overtake one another. A read
+// that may be some time old must be sent to a log that holds everything which
+// was acknowledged before that time and is still part of the group's log.
+func TestRequiredCoversWhatWasAcknowledged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := &groupState{samples: routing.NewSamples(sampleCount, sampleSpacing)}
+		var now time.Duration
+		end := group.Position{Term: 1}
+		type acknowledged struct {
+			at       time.Duration
+			position group.Position
+		}
+		var acks []acknowledged
+		var flying []statementInFlight
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond
+			switch rapid.SampledFrom([]string{"ask", "ask", "write", "answer", "answer", "promote", "read", "read"}).Draw(t, "what") {
+			case "ask":
+				flying = append(flying, statementInFlight{asked: now, position: end})
+			case "write":
+				end.Index++
+				acks = append(acks, acknowledged{at: now, position: end})
+			case "answer":
+				if len(flying) > 0 {
+					i := rapid.IntRange(0, len(flying)-1).Draw(t, "which")
+					g.note(flying[i].asked, flying[i].position)
+					flying = append(flying[:i], flying[i+1:]...)
+				}
+			case "promote":
+				// What is under way at the old primary is broken off, and its last writes
+				// may be gone.
+				flying = nil
+				lost := rapid.Uint64Range(0, min(2, end.Index)).Draw(t, "lost")
+				end = group.Position{Term: end.Term + 1, Index: end.Index - lost}
+				for i := range acks {
+					if acks[i].position.Index > end.Index {
+						acks[i].position = group.Position{} // gone with the old log
+					}
+				}
+			case "read":
+				at := now - time.Duration(rapid.IntRange(0, 500).Draw(t, "staleness"))*time.Millisecond
+				required, ok := g.required(at)
+				if !ok {
+					continue // to the primary
+				}
+				for _, ack := range acks {
+					if ack.at <= at && ack.position.Index > required.Index {
+						t.Fatalf("a read of what was acknowledged by %s requires %s, but %s was acknowledged at %s", at, required, ack.position, ack.at)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestFloorOfAnEarlierTerm(t *testing.T) {
+	g := &groupState{samples: routing.NewSamples(sampleCount, sampleSpacing)}
+	g.note(time.Second, group.Position{Term: 2, Index: 7})
+	must.Eq(t, group.Position{}, g.floor(group.Position{Term: 1, Index: 9}))
+	must.Eq(t, group.Position{Term: 2, Index: 9}, g.floor(group.Position{Term: 2, Index: 9}))
+	g.note(2*time.Second, group.Position{Term: 1, Index: 50})
+	_, ok := g.required(time.Second)
+	must.False(t, ok, must.Sprint("a sample of an older term is not taken"))
+}
+
+func TestShares(t *testing.T) {
+	must.Eq(t, 2, Share(23, 9))
+	must.Eq(t, 4, Share(38, 8))
+	must.Eq(t, 1, Share(53, 71))
+	must.Eq(t, 21, Share(23, 0))
+	must.Eq(t, 1, ActiveShare(3, 9))
+	must.Eq(t, 2, ActiveShare(3, 3))
+	must.Eq(t, 6, ActiveShare(3, 1))
+	must.Eq(t, 1, ActiveShare(0, 5))
+}
