--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,7 +92,7 @@
 		Credentials:     make(map[string]string),
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
-		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info"},
+		Fleet: Fleet{Grace: 6 * time.Second, Lease: 2 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info"},
 	}
 }
 
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -146,7 +146,7 @@
 		pause(ctx, releaseRetry)
 		return
 	}
-	g.outcome, g.refused, g.silent = out, 0, false
+	g.outcome, g.refused, g.silent, g.doubtAt = out, 0, false, 0
 	c.hangUp(g)
 	c.publish(ctx, group, out)
 	log.WithFields(logrus.Fields{"member": out.record.Primary, "term": out.record.Term, "after": c.now() - started}).
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -31,13 +31,10 @@
 	// statements there (24 of some 20 ms on 3 slots).
 	probeTimeout = 350 * time.Millisecond
 	// silence is after how long without an answer a primary counts as dark. It
-	// covers two probes; a false alarm costs a change of primary (0.3 to 0.6 s).
+	// covers a probe with its timeout, and the other instances are asked as well; a false alarm costs a change of primary (0.3 to 0.6 s).
 	silence = 800 * time.Millisecond
 	// refusals is how many refused connections in a row show a dead process.
 	refusals = 2
-	// witnessAge is how recently another instance must have heard from a member
-	// for it to count as alive there.
-	witnessAge = 400 * time.Millisecond
 	// witnessTimeout bounds the question to the other instances.
 	witnessTimeout = 250 * time.Millisecond
 	// absence is how long the entry of a primary may be missing before the primary
@@ -98,6 +95,7 @@
 	refused    int  // connections to the primary refused in a row
 	silent     bool // the last question to the primary got no answer
 	probedAt   time.Duration
+	doubtAt    time.Duration // when a question since its last answer was first left unanswered; 0: none was
 	leading    int64         // revision of the leader's key at the last look
 	generation uint64        // of our leadership
 	provenAt   time.Duration // when our last conditional write was sent; 0: none yet
@@ -228,7 +226,7 @@
 	}
 	stored, _ := c.around.View().Record(group)
 	g.leading, g.generation, g.takenAt, g.provenAt = leaderRevision, stored.Generation, c.now(), 0
-	g.refused, g.silent, g.inherited, g.outcome = 0, false, "", nil
+	g.refused, g.silent, g.doubtAt, g.inherited, g.outcome = 0, false, 0, "", nil
 	if record.Change != nil {
 		g.inherited = record.Change.ID
 	}
@@ -291,8 +289,8 @@
 func (c *Controller) checkHealth(ctx context.Context, group string, g *ledGroup, primary topology.Member) {
 	age, heard := c.around.Heard(primary.ID)
 	now := c.now()
-	if heard && age < probeAfter && !c.around.Doubtful(primary.ID) {
-		g.refused, g.silent = 0, false
+	if heard && age < probeAfter && !c.around.Doubtful(primary.ID) && c.connected(g, primary) {
+		g.refused, g.silent, g.doubtAt = 0, false, 0
 		return
 	}
 	if now-g.probedAt < probePause {
@@ -302,7 +300,7 @@
 	status, err := c.ask(ctx, g, primary)
 	switch verdict := judge(err); verdict {
 	case answers:
-		g.refused, g.silent = 0, false
+		g.refused, g.silent, g.doubtAt = 0, false, 0
 		c.around.NoteAnswer(primary.ID)
 		if err == nil && !status.Primary {
 			c.begin(ctx, group, g, "the primary does not lead any more", false)
@@ -313,11 +311,14 @@
 	case isSilent:
 		g.silent = true
 	}
+	if g.doubtAt == 0 {
+		g.doubtAt = now
+	}
 	age, heard = c.around.Heard(primary.ID)
 	if !dead(g.refused, g.silent, age, heard, now-g.takenAt) {
 		return
 	}
-	if name, recently := c.witnessed(ctx, primary.ID); recently {
+	if name, recently := c.witnessed(ctx, primary.ID, g.doubtAt); recently {
 		c.log.WithFields(logrus.Fields{"group": group, "member": primary.ID, "witness": name, "refused": g.refused}).
 			Info("lead: the primary does not answer here, but another instance hears it; it stays")
 		return
@@ -375,7 +376,7 @@
 // ask asks the primary for its status, on a connection of the controller's own.
 func (c *Controller) ask(ctx context.Context, g *ledGroup, m topology.Member) (member.Status, error) {
 	deadline := time.Now().Add(probeTimeout)
-	if g.conn == nil || g.connTo != m.ID || !g.conn.Silent() {
+	if !c.connected(g, m) {
 		c.hangUp(g)
 		dialCtx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
@@ -392,6 +393,12 @@
 	return status, err
 }
 
+// connected reports whether the controller's own connection to the primary stands.
+// That of a process that ended breaks at once, before any statement is sent.
+func (c *Controller) connected(g *ledGroup, m topology.Member) bool {
+	return g.conn != nil && g.connTo == m.ID && g.conn.Silent()
+}
+
 func (c *Controller) hangUp(g *ledGroup) {
 	if g.conn != nil {
 		g.conn.Close()
--- a/internal/lead/others.go
+++ b/internal/lead/others.go
@@ -55,16 +55,16 @@
 	})
 }
 
-// witnessed asks the other instances whether one of them heard from a member a
-// moment ago, and returns its name.
-func (c *Controller) witnessed(ctx context.Context, id string) (string, bool) {
+// witnessed asks the other instances whether one of them heard from a member
+// after the time at which it first left us without an answer, and returns its name.
+func (c *Controller) witnessed(ctx context.Context, id string, since time.Duration) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	others := c.around.View().Alive()
 	names := make(chan string, len(others))
 	c.askOthers(others, func(instance Instance, client leadpb.CoordinationClient) error {
 		reply, err := client.Witness(ctx, &leadpb.WitnessRequest{Member: id})
-		if err == nil && reply.Heard && time.Duration(reply.AgeUs)*time.Microsecond < witnessAge {
+		if err == nil && reply.Heard && time.Duration(reply.AgeUs)*time.Microsecond < c.now()-since {
 			names <- instance.Name
 		}
 		return err
