--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -116,7 +116,7 @@
 		item, readErr := c.readBack(ctx, key)
 		switch {
 		case readErr != nil:
-			return 0, errors.Join(err, readErr)
+			return 0, fmt.Errorf("%w; reading back: %w", err, readErr)
 		case item.Revision != expected && bytes.Equal(item.Value, value):
 			g.provenAt = sent
 			c.around.Gate(group).Learn(record, item.Revision)
@@ -142,14 +142,14 @@
 	log := c.log.WithFields(logrus.Fields{"group": group, "change": change.ID, "reason": change.Reason})
 	out, err := c.carryOut(ctx, group, g, change)
 	if err != nil {
-		log.WithError(err).WithField("after", c.now()-started).Warn("lead: the change of primary did not get through; it is tried again")
+		log.WithError(err).WithField("after_ms", (c.now()-started).Milliseconds()).Warn("lead: the change of primary did not get through; it is tried again")
 		pause(ctx, releaseRetry)
 		return
 	}
 	g.outcome, g.refused, g.silent, g.doubtAt = out, 0, false, 0
 	c.hangUp(g)
 	c.publish(ctx, group, out)
-	log.WithFields(logrus.Fields{"member": out.record.Primary, "term": out.record.Term, "after": c.now() - started}).
+	log.WithFields(logrus.Fields{"member": out.record.Primary, "term": out.record.Term, "after_ms": (c.now() - started).Milliseconds()}).
 		Info("lead: the group has its primary")
 	c.around.Event("primary", group, out.record.Primary, out.record.Term, "primary after: "+change.Reason)
 	c.recordOutcome(ctx, group, g)
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -172,7 +172,7 @@
 			return
 		}
 		if tries%releaseLogEvery == 0 {
-			c.log.WithFields(logrus.Fields{"group": r.group, "instance": instance.Name, "waited": c.now() - r.announced, "tries": tries + 1}).
+			c.log.WithFields(logrus.Fields{"group": r.group, "instance": instance.Name, "waited_ms": (c.now() - r.announced).Milliseconds(), "tries": tries + 1}).
 				WithError(err).Info("lead: an instance has not released its grant")
 		}
 		pause(ctx, releaseRetry)
--- a/internal/relay/breaker.go
+++ b/internal/relay/breaker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"github.com/stackspindle/stackspindle/internal/connpool"
@@ -41,6 +42,19 @@
 	return !b.tripped
 }
 
+// cause returns why work that was broken off has failed, or the error itself.
+func (b *breaker) cause(err error) error {
+	if b == nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tripped {
+		return fmt.Errorf("broken off, since the primary is being changed: %w", err)
+	}
+	return err
+}
+
 // disarm takes the connection out of the breaker's reach.
 func (b *breaker) disarm() {
 	if b == nil {
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -287,7 +287,7 @@
 	if err != nil {
 		held.release()
 		up.noteMiss(a.now())
-		return a.lostAnswer(up, err)
+		return a.lostAnswer(up, b.cause(err))
 	}
 	relay.noteAnswer(up, a.group, pass, asked, answer)
 	a.offered = true
