--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -142,7 +142,7 @@
 	log := c.log.WithFields(logrus.Fields{"group": group, "change": change.ID, "reason": change.Reason})
 	out, err := c.carryOut(ctx, group, g, change)
 	if err != nil {
-		log.WithError(err).WithField("after_ms", (c.now()-started).Milliseconds()).Warn("lead: the change of primary did not get through; it is tried again")
+		log.WithError(err).WithField("after_ms", (c.now() - started).Milliseconds()).Warn("lead: the change of primary did not get through; it is tried again")
 		pause(ctx, releaseRetry)
 		return
 	}
