--- a/internal/logs/limiter.go
+++ b/internal/logs/limiter.go
@@ -8,7 +8,7 @@
 // Settings of the limiter.
 const (
 	limitWindow = time.Second
-	limitLines  = 10 // of one kind in a window, on average some 5 kB
+	limitLines  = 4 // of one kind in a window, some 2 kB
 	limitKinds  = 512
 )
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // bufferedLines bounds what waits to be written, at some 300 bytes a line.
@@ -43,36 +44,56 @@
 // Dropped returns how many lines did not fit since the last report.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
+// flushDelay is how long lines are collected for one write. Each write and each
+// time that the process wakes up for one costs more than the lines.
+const flushDelay = 100 * time.Millisecond
+
 func (w *Writer) run() {
 	defer close(w.done)
 	for {
 		select {
 		case line := <-w.lines:
-			w.put(line)
+			stopped := w.collect()
+			w.flush(line)
+			if stopped {
+				return
+			}
 		case <-w.stop:
-			w.drain()
+			w.flush(nil)
 			return
 		}
 	}
 }
 
-func (w *Writer) drain() {
-	for {
+// collect waits for further lines, and reports whether the writer is to end.
+func (w *Writer) collect() bool {
+	timer := time.NewTimer(flushDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return false
+	case <-w.stop:
+		return true
+	}
+}
+
+// flush writes a line and all that wait, and how many were dropped before. An
+// output that fails has nobody left to tell.
+func (w *Writer) flush(first []byte) {
+	batch := first
+	for waiting := true; waiting; {
 		select {
 		case line := <-w.lines:
-			w.put(line)
+			batch = append(batch, line...)
 		default:
-			return
+			waiting = false
 		}
 	}
-}
-
-// put writes a line, and after it how many were dropped before. A writer that
-// fails has nobody left to tell.
-func (w *Writer) put(line []byte) {
-	_, _ = w.out.Write(line)
 	if n := w.dropped.Swap(0); n > 0 {
-		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warning\",\"part\":\"logs\",\"msg\":\"logs: lines were dropped\",\"dropped\":%d}\n", n)
+		batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"part\":\"logs\",\"msg\":\"logs: lines were dropped\",\"dropped\":%d}\n", n)
+	}
+	if len(batch) > 0 {
+		_, _ = w.out.Write(batch)
 	}
 }
 
