--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -24,6 +24,7 @@
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/internal/timeline"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -103,6 +104,7 @@
 	controller *lead.Controller
 	background *ants.Pool
 	peers      *grpc.Server
+	conns      *peerconn.Conns // to other instances
 	servers    []*http.Server
 
 	callerAddr string // set by Start
@@ -127,6 +129,7 @@
 		ring:    timeline.NewRing(settings.Name, timeline.NewClock(time.Now), eventsKept),
 		changes: make(chan change),
 		known:   make(chan struct{}),
+		conns:   peerconn.New(),
 	}
 	i.topology.Store(topology.New(memberGrace).Snapshot())
 	i.view.Store(lead.NewView())
@@ -141,7 +144,7 @@
 		return nil, err
 	}
 	server := lead.NewServer(i.self.Incarnation, i.relay.Gate, i.informed, i.now, i.upstreams.Heard)
-	i.controller = lead.NewController(i.self, server, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
+	i.controller = lead.NewController(i.self, server, i.conns, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
 		i.now, i.spawn, i.part("lead"))
 	i.peers = grpc.NewServer()
 	leadpb.RegisterCoordinationServer(i.peers, server)
@@ -285,7 +288,7 @@
 	i.peers.Stop()
 	i.callers.CloseListener()
 	i.upstreams.Close()
-	i.controller.Close()
+	i.conns.Close()
 	i.done.Wait()
 	i.background.Release()
 	i.part("instance").Info("instance: stopped")
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -82,7 +83,7 @@
 	now      func() time.Duration
 	spawn    func(func())
 	log      *logrus.Entry
-	peers    *peers
+	peers    *peerconn.Conns
 	own      *Server // answers this instance's own questions
 
 	mu     sync.Mutex // guards groups
@@ -116,17 +117,14 @@
 
 // NewController returns the controller of an instance, which asks its own server
 // as it asks those of others. spawn runs a task in the background.
-func NewController(self Instance, own *Server, store kv.Store, promoter Promoter, dialer member.Dialer, around Surroundings,
+func NewController(self Instance, own *Server, peers *peerconn.Conns, store kv.Store, promoter Promoter, dialer member.Dialer, around Surroundings,
 	now func() time.Duration, spawn func(func()), log *logrus.Entry) *Controller {
 	return &Controller{
 		self: self, own: own, store: store, promoter: promoter, dialer: dialer, around: around,
-		now: now, spawn: spawn, log: log, peers: newPeers(), groups: make(map[string]*ledGroup),
+		now: now, spawn: spawn, log: log, peers: peers, groups: make(map[string]*ledGroup),
 	}
 }
 
-// Close ends the connections to other instances.
-func (c *Controller) Close() { c.peers.close() }
-
 // Tick looks at every group and starts what is due.
 func (c *Controller) Tick(ctx context.Context) {
 	view, lease := c.around.View(), c.around.Lease()
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
+	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/standin/memstore"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -56,9 +57,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := Instance{Name: name, Incarnation: name + "-1"}
+	conns := peerconn.New()
 	own := NewServer(self.Incarnation, f.Gate, func() bool { return true }, now, f.Heard)
-	c := NewController(self, own, store, group, group, f, now, func(task func()) { task() }, log.WithField("part", "lead"))
-	t.Cleanup(c.Close)
+	c := NewController(self, own, conns, store, group, group, f, now, func(task func()) { task() }, log.WithField("part", "lead"))
+	t.Cleanup(conns.Close)
 	lease, err := store.Grant(t.Context(), time.Second)
 	must.NoError(t, err)
 	f.lease = lease.ID
--- a/internal/lead/others.go
+++ b/internal/lead/others.go
@@ -23,13 +23,21 @@
 	wg.Wait()
 }
 
+func (c *Controller) client(address string) (leadpb.CoordinationClient, error) {
+	conn, err := c.peers.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	return leadpb.NewCoordinationClient(conn), nil
+}
+
 // askOthers makes a call of each instance but this one, all at once.
 func (c *Controller) askOthers(instances []Instance, call func(Instance, leadpb.CoordinationClient) error) {
 	forEach(instances, func(instance Instance) {
 		if instance.Name == c.self.Name {
 			return
 		}
-		client, err := c.peers.client(instance.Address)
+		client, err := c.client(instance.Address)
 		if err == nil {
 			err = call(instance, client)
 		}
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -198,7 +198,7 @@
 }
 
 func (c *Controller) callRelease(ctx context.Context, r *release, instance Instance) (*leadpb.ReleaseReply, error) {
-	client, err := c.peers.client(instance.Address)
+	client, err := c.client(instance.Address)
 	if err != nil {
 		return nil, err
 	}
