Carriers: with fewer connections than instances, some hold them and serve the others

Change: floor((cap - 2) / 2) instances a group, by rendezvous hashing, hold connections of their own; an instance that is not among them passes statements with the session's values, names and floor to one that is, near ones first. With 9 before 23 all are carriers, as before: the number is a decision of the same code. What was not taken up goes to another carrier; reads and BEGIN whose answer is lost as well; a write is in doubt.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -298,6 +299,72 @@
 	}
 }
 
+// With fewer connections than instances some instances hold them, and the others
+// have their callers' statements run there.
+func TestInstancesWithoutConnections(t *testing.T) {
+	config := testConfig()
+	config.Groups[0].MaxConnections = scarce
+	f := newFleetWith(t, 5, config)
+	f.eventually("the carriers are known", func() bool { return len(f.carriers()) == 2 })
+	for n := range f.instances {
+		c := f.call(n, "own")
+		c.must("SET colour blue", "I")
+		c.must("PREPARE p WRITE shape1", "I")
+		c.must("EXECUTE p 7 data", "I")
+		c.must("BEGIN", "T")
+		c.must("EXECUTE p 8 data", "T")
+		c.must("READ 8", "T")
+		c.must("COMMIT", "I")
+		must.Eq(t, []string{fmt.Sprintf("ROW %d", 2*n+2)}, c.rows("READ 8"), must.Sprint("the session's own work"))
+		c.must("BEGIN", "T")
+		c.must("WRITE 9 x", "T")
+		c.must("ROLLBACK", "I")
+		c.must("BEGIN", "T")
+		c.must("WRITE 9 x", "T")
+		c.conn.Close()
+	}
+	must.Len(t, 2*len(f.instances), f.group.Log())
+	for _, text := range f.group.Ran("m1") {
+		must.StrContains(t, text, "colour=blue")
+	}
+}
+
+func TestCarriersThatStopOrDie(t *testing.T) {
+	config := testConfig()
+	config.Groups[0].MaxConnections = scarce
+	f := newFleetWith(t, 5, config)
+	f.eventually("the carriers are known", func() bool { return len(f.carriers()) == 2 })
+	entry := -1
+	for n := range f.instances {
+		if !f.carriers()[n] {
+			entry = n
+		}
+	}
+	c := f.call(entry, "own")
+	c.writeUntilDone("before")
+	for n := range f.carriers() {
+		if n%2 == 0 {
+			f.instances[n].Stop()
+		} else {
+			f.store.EndLease(leaseOf(f.instances[n]))
+			f.clients[n].Set(memstore.Faults{Refuse: true})
+			f.instances[n].close()
+		}
+	}
+	c.writeUntilDone("after")
+}
+
+// carriers returns the instances that hold connections, by place, once all agree.
+func (f *testFleet) carriers() map[int]bool {
+	carriers := make(map[int]bool)
+	for n, inst := range f.instances {
+		if inst.relay.Carries(testGroup) {
+			carriers[n] = true
+		}
+	}
+	return carriers
+}
+
 func leaseOf(i *Instance) kv.LeaseID { return kv.LeaseID(i.lease.Load()) }
 
 // rows returns the rows of an answer.
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
@@ -220,7 +221,7 @@
 				i.relay.Gate(group).Learn(record, revision)
 			}
 		}
-		i.upstreams.Update(i.topology.Load(), len(view.Registered(i.now())))
+		i.share(i.topology.Load())
 	}
 	if c.whole {
 		i.knownOnce.Do(func() { close(i.known) })
@@ -304,7 +305,15 @@
 func (i *Instance) publish(state *topology.State) {
 	snap := state.Snapshot()
 	i.topology.Store(snap)
-	i.upstreams.Update(snap, len(i.view.Load().Registered(i.now())))
+	i.share(snap)
+}
+
+// share decides which instances hold connections to which groups, and how many.
+func (i *Instance) share(snap *topology.Snapshot) {
+	view := i.view.Load()
+	registered := len(view.Registered(i.now()))
+	i.upstreams.Update(snap, registered)
+	i.relay.SetCarriers(relay.Place(snap, i.self, view.Alive(), registered))
 }
 
 // surroundings gives the controller its picture of the instance.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -26,6 +26,7 @@
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/relay"
+	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
 	"github.com/stackspindle/stackspindle/internal/timeline"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -101,6 +102,7 @@
 	upstreams  *relay.Upstreams
 	relay      *relay.Relay
 	callers    *relay.Server
+	carrier    *relay.CarrierServer
 	controller *lead.Controller
 	background *ants.Pool
 	peers      *grpc.Server
@@ -139,7 +141,7 @@
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
-	i.relay = relay.New(i.started, settings.DataCentre, i.topology.Load, i.upstreams, i.part("relay"), i.set)
+	i.relay = relay.New(i.started, settings.DataCentre, i.topology.Load, i.upstreams, i.conns, i.part("relay"), i.set)
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
 		return nil, err
 	}
@@ -148,6 +150,8 @@
 		i.now, i.spawn, i.part("lead"))
 	i.peers = grpc.NewServer()
 	leadpb.RegisterCoordinationServer(i.peers, server)
+	i.carrier = relay.NewCarrierServer(i.relay)
+	relaypb.RegisterCarrierServer(i.peers, i.carrier)
 	return i, nil
 }
 
@@ -252,6 +256,7 @@
 	half, cancel := context.WithTimeout(context.Background(), i.settings.Grace/2)
 	defer cancel()
 	i.leave(half)
+	i.carrier.Stop()
 	select {
 	case <-time.After(min(takenOut, i.settings.Grace/3)):
 	case <-half.Done():
--- /dev/null
+++ b/internal/relay/carry.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/peerconn"
+	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Settings of the way to carriers.
+const (
+	// carriersTried is how many carriers a statement is offered to that none has run.
+	carriersTried = 3
+	// carryMargin is how much longer than the statement's own deadline an answer is
+	// awaited: the way back, and a carrier that gives up at the last moment.
+	carryMargin = 60 * time.Millisecond
+	// idleStreams bounds the streams to one carrier that are kept for the next use.
+	idleStreams = 64
+)
+
+// errNotTaken says that a carrier has not taken a statement up.
+var errNotTaken = errors.New("the carrier has not taken the statement up")
+
+// carrierConns holds the streams to carriers. It is safe for concurrent use.
+type carrierConns struct {
+	conns *peerconn.Conns
+
+	mu   sync.Mutex // guards idle
+	idle map[string][]*carrierStream
+}
+
+// carrierStream carries the transactions of one caller at a time.
+type carrierStream struct {
+	owner   *carrierConns
+	address string
+	run     grpc.BidiStreamingClient[relaypb.CarryRequest, relaypb.CarryReply]
+	cancel  context.CancelFunc
+}
+
+func newCarrierConns(conns *peerconn.Conns) *carrierConns {
+	return &carrierConns{conns: conns, idle: make(map[string][]*carrierStream)}
+}
+
+// open returns an idle stream to a carrier, or a new one.
+func (c *carrierConns) open(address string) (*carrierStream, error) {
+	c.mu.Lock()
+	if idle := c.idle[address]; len(idle) > 0 {
+		s := idle[len(idle)-1]
+		c.idle[address] = idle[:len(idle)-1]
+		c.mu.Unlock()
+		return s, nil
+	}
+	c.mu.Unlock()
+	conn, err := c.conns.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	run, err := relaypb.NewCarrierClient(conn).Carry(ctx)
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("carrier at %s: %w", address, err)
+	}
+	return &carrierStream{owner: c, address: address, run: run, cancel: cancel}, nil
+}
+
+// release keeps the stream for the next transaction.
+func (s *carrierStream) release() {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	if len(s.owner.idle[s.address]) >= idleStreams {
+		s.cancel()
+		return
+	}
+	s.owner.idle[s.address] = append(s.owner.idle[s.address], s)
+}
+
+// ask sends a request and returns the reply. An error that wraps errNotTaken means
+// that nothing of it was run; after any error the stream is gone.
+func (s *carrierStream) ask(req *relaypb.CarryRequest, timeout time.Duration) (*relaypb.CarryReply, error) {
+	timer := time.AfterFunc(timeout, s.cancel)
+	defer timer.Stop()
+	if err := s.run.Send(req); err != nil {
+		s.cancel()
+		return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotTaken, err)
+	}
+	reply, err := s.run.Recv()
+	switch {
+	case err != nil:
+		s.cancel()
+		return nil, fmt.Errorf("carrier at %s: %w", s.address, err)
+	case reply.Stopping:
+		s.cancel()
+		return nil, fmt.Errorf("carrier at %s: %w: it stops", s.address, errNotTaken)
+	}
+	return reply, nil
+}
+
+// remoteTransaction is an open transaction at a carrier.
+type remoteTransaction struct {
+	stream *carrierStream
+	route  topology.Route
+	wrote  bool
+}
+
+// carry has a first statement run by a carrier.
+func (s *session) carry(st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
+	why := "no carrier could be asked"
+	for _, carrier := range carriers[:min(carriersTried, len(carriers))] {
+		left := arrived + route.Timeout - s.relay.now()
+		if left <= 0 {
+			break
+		}
+		stream, err := s.relay.carrierConns.open(carrier.Address)
+		if err != nil {
+			why = err.Error()
+			continue
+		}
+		reply, err := stream.ask(s.carryRequest(st, arrived), left+carryMargin)
+		switch {
+		case errors.Is(err, errNotTaken):
+			why = err.Error()
+			continue
+		case err != nil:
+			s.relay.logLost(s, st, carrier.Name, err)
+			why = err.Error()
+			if s.reads(st) || st.Kind == statement.Begin {
+				continue // nothing can have changed
+			}
+			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
+		}
+		return s.settleCarried(st, stream, route, reply)
+	}
+	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", why)
+	answer.Err.RetryAfter = comeBack
+	return answer
+}
+
+// continueCarried runs a further statement of a transaction at a carrier.
+func (s *session) continueCarried(st statement.Statement, arrived time.Duration) statement.Answer {
+	tx := s.remote
+	reply, err := tx.stream.ask(s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
+	if err != nil {
+		s.relay.logLost(s, st, tx.stream.address, err)
+		s.remote = nil
+		if st.Kind == statement.Commit && tx.wrote && !errors.Is(err, errNotTaken) {
+			return statement.Failure(statement.Idle, statement.Unknown, "the answer to the commit did not arrive: %v", err)
+		}
+		return statement.Failure(statement.Idle, statement.Aborted, "the connection to the carrier was lost: %v", err)
+	}
+	return s.settleCarried(st, tx.stream, tx.route, reply)
+}
+
+// settleCarried takes in a carrier's reply. While a transaction is open the
+// session keeps the stream.
+func (s *session) settleCarried(st statement.Statement, stream *carrierStream, route topology.Route, reply *relaypb.CarryReply) statement.Answer {
+	answer := decodeReply(reply)
+	s.floor = group.Max(s.floor, decodePosition(reply.Floor))
+	if answer.State == statement.Idle {
+		s.remote = nil
+		stream.release()
+		return answer
+	}
+	if s.remote == nil {
+		s.remote = &remoteTransaction{stream: stream, route: route}
+	}
+	s.remote.wrote = s.remote.wrote || st.Kind == statement.Write || st.Kind == statement.Execute && s.names[st.Name].writes
+	return answer
+}
+
+// dropCarried rolls back what is open at a carrier.
+func (s *session) dropCarried() {
+	if s.remote != nil {
+		s.remote.stream.cancel()
+		s.remote = nil
+	}
+}
+
+// carryRequest describes a statement with what the session brings to it.
+func (s *session) carryRequest(st statement.Statement, arrived time.Duration) *relaypb.CarryRequest {
+	named := s.names[st.Name]
+	return &relaypb.CarryRequest{
+		Database: s.database, Id: st.ID, Text: st.Text, Kind: int32(st.Kind), Name: st.Name, Args: st.Args,
+		Writes: named.writes, Shape: named.shape, Values: s.values, Floor: encodePosition(s.floor),
+		ElapsedUs: (s.relay.now() - arrived).Microseconds(),
+	}
+}
+
+func encodePosition(p group.Position) *relaypb.Position {
+	return &relaypb.Position{Term: p.Term, Index: p.Index}
+}
+
+func decodePosition(p *relaypb.Position) group.Position {
+	return group.Position{Term: p.GetTerm(), Index: p.GetIndex()}
+}
+
+func encodeReply(a statement.Answer, floor group.Position) *relaypb.CarryReply {
+	reply := &relaypb.CarryReply{
+		Rows: a.Rows, Receipt: a.Receipt, State: uint32(a.State), Position: encodePosition(a.Position), Floor: encodePosition(floor),
+	}
+	if a.Err != nil {
+		reply.Code, reply.Detail, reply.RetryAfterUs = int32(a.Err.Code), a.Err.Detail, a.Err.RetryAfter.Microseconds()
+	}
+	return reply
+}
+
+func decodeReply(r *relaypb.CarryReply) statement.Answer {
+	a := statement.Answer{Rows: r.Rows, Receipt: r.Receipt, State: statement.State(r.State), Position: decodePosition(r.Position)}
+	if r.Code != 0 {
+		a.Err = &statement.Error{
+			Code: statement.Code(r.Code), Detail: r.Detail, RetryAfter: time.Duration(r.RetryAfterUs) * time.Microsecond,
+		}
+	}
+	return a
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -92,6 +92,9 @@
 	if !known {
 		return statement.Failure(statement.Idle, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
 	}
+	if carriers := s.relay.carriersOf(route.Group); !carriers.Here && !s.carried {
+		return s.carry(st, route, carriers.Others, arrived)
+	}
 	a := &attempt{
 		s: s, st: st, needed: needed, route: route,
 		group: s.relay.upstreams.group(route.Group), gate: s.relay.Gate(route.Group),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -9,6 +10,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/logs"
+	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -23,16 +25,19 @@
 	set       *metrics.Set
 	limiter   *logs.Limiter
 
+	carriers     atomic.Pointer[map[string]Carriers] // by group
+	carrierConns *carrierConns
+
 	mu    sync.Mutex // guards gates
 	gates map[string]*lead.Gate
 }
 
 // New returns a relay of an instance in a data centre, whose times count from
 // started, on the steady clock.
-func New(started time.Time, dataCentre string, topology func() *topology.Snapshot, upstreams *Upstreams, log *logrus.Entry, set *metrics.Set) *Relay {
+func New(started time.Time, dataCentre string, topology func() *topology.Snapshot, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
 	r := &Relay{
 		started: started, near: dataCentre, topology: topology, upstreams: upstreams, log: log, set: set,
-		gates: make(map[string]*lead.Gate),
+		gates: make(map[string]*lead.Gate), carrierConns: newCarrierConns(conns),
 	}
 	r.limiter = logs.NewLimiter(r.now)
 	return r
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -213,7 +213,7 @@
 
 // idleTooLong ends a transaction that rests, or a session that is to end.
 func (c *callerConn) idleTooLong() bool {
-	if c.session.tx != nil {
+	if c.session.tx != nil || c.session.remote != nil {
 		c.session.abandonTx("the transaction rested for too long and was rolled back")
 		c.setBusy(false)
 		return true
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -25,8 +25,10 @@
 	names    map[string]prepared
 	floor    group.Position // of the session's last acknowledged commit
 	state    statement.State
-	tx       *transaction // nil outside one, and in one that was lost
-	lost     string       // why the open transaction is gone; empty: it is not
+	tx       *transaction       // nil outside one, in one that was lost, and in one at a carrier
+	remote   *remoteTransaction // at a carrier; nil: none
+	carried  bool               // the session is another instance's, which this one carries for
+	lost     string             // why the open transaction is gone; empty: it is not
 }
 
 // transaction is an open transaction on a member's connection.
@@ -74,6 +76,8 @@
 		return statement.Done(s.state)
 	case s.tx != nil:
 		return s.continueTx(st, arrived)
+	case s.remote != nil:
+		return s.continueCarried(st, arrived)
 	case ends:
 		return statement.Failure(statement.Idle, statement.Malformed, "no transaction is open")
 	}
@@ -202,6 +206,7 @@
 // endTx returns the transaction's connection. What is still open on it is rolled
 // back, or the connection is closed.
 func (s *session) endTx() {
+	s.dropCarried()
 	if s.tx == nil {
 		return
 	}
@@ -215,7 +220,7 @@
 // abandonTx rolls the open transaction back although its caller has not asked
 // for that. The caller hears of it with its next statement.
 func (s *session) abandonTx(reason string) {
-	if s.tx == nil {
+	if s.tx == nil && s.remote == nil {
 		return
 	}
 	s.endTx()
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -113,27 +113,29 @@
 			u.members[id] = up
 		}
 		up.pool.SetCapacity(Share(snap.Groups[m.Group].MaxConnections, instances))
-		up.pool.SetMaxActive(ActiveShare(m.Slots, instances))
+		up.pool.SetMaxActive(ActiveShare(m.Slots, CarrierCount(snap.Groups[m.Group].MaxConnections, instances)))
 		up.mu.Lock()
 		up.member = m
 		up.mu.Unlock()
 	}
 }
 
-// Share returns how many of a member's connections one instance may use. Some
-// stay free for questions about the member's state and for the connections of
-// instances that have just died.
+// reservedConnections of each member stay free for questions about its state and
+// for the connections of instances that have just died.
+const reservedConnections = 2
+
+// Share returns how many of a member's connections one carrier may use, of all
+// instances.
 func Share(maxConnections, instances int) int {
-	const reserved = 2
-	return max(1, (maxConnections-reserved)/max(1, instances))
+	return max(1, (maxConnections-reservedConnections)/CarrierCount(maxConnections, instances))
 }
 
-// ActiveShare returns how many statements one instance may have running at a
-// member outside transactions. All instances together keep the member's slots
+// ActiveShare returns how many statements one carrier may have running at a
+// member outside transactions. All carriers together keep the member's slots
 // busy with some in reserve; more would only wait there, in no order.
-func ActiveShare(slots, instances int) int {
+func ActiveShare(slots, carriers int) int {
 	const perSlot = 2 // one that runs, and one on its way or waiting
-	return max(1, (perSlot*slots+instances-1)/max(1, instances))
+	return max(1, (perSlot*slots+carriers-1)/max(1, carriers))
 }
 
 func (u *Upstreams) newUpstream(m topology.Member) *upstream {
