Watches end in the time in which a silent store must be noticed; renewals notice it too

Kept: the lease's renewals notice a silent store and begin the watch anew when it answers; longer rests while changes come in quick succession; leases of 3 s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -74,7 +74,7 @@
 	Lease    time.Duration
 
 	// StoreSilence is the time within which it must be noticed that the store is
-	// silent. A watch is shorter, so that one whose answer was lost ends in it.
+	// silent. A watch is shorter, so that one which is deaf ends in it.
 	StoreSilence time.Duration
 
 	LogLevel string // info, or debug for a line on each statement; read again on SIGHUP
@@ -92,7 +92,7 @@
 		Credentials:     make(map[string]string),
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
-		Fleet: Fleet{Grace: 6 * time.Second, Lease: 2 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info"},
+		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info"},
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -232,6 +232,16 @@
 	f.eventually("the new configuration is in force", func() bool { return f.instances[0].topology.Load().Version == 2 })
 }
 
+// A watch that is deaf must end, and the store be read anew, within the time in
+// which a silent store must be noticed. Longer watches broke the bound on
+// configurations on scale-1 of swancoast-dispatch.
+func TestWatchesEndInTime(t *testing.T) {
+	for _, silence := range []time.Duration{2 * time.Second, 4 * time.Second, 5 * time.Second} {
+		must.Less(t, silence, watchTime(silence)+watchSlack)
+		must.Positive(t, watchTime(silence))
+	}
+}
+
 func TestOlderConfigurationIsNotTaken(t *testing.T) {
 	f := newFleet(t, 1)
 	config := testConfig()
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -15,19 +15,15 @@
 
 // Settings of the calls to the store.
 const (
-	// watchSlack is kept for the way of a watch and a slow store (0.3 s on the
-	// sheets), of the time after which its silence must have been noticed.
+	// watchSlack covers the way of a watch and a slow store (0.3 s on the sheets).
 	watchSlack = 700 * time.Millisecond
-	// watchMargin is kept of the same time for what follows.
+	// watchMargin is kept for reading the store anew.
 	watchMargin = 300 * time.Millisecond
-	// maxWatch keeps the grants confirmed: an answer confirms them from when its
-	// call was sent, so that they are up to two watches old, and last 15 s.
-	maxWatch = 3 * time.Second
 	// minWatchPause and maxWatchPause bound the pause after changes came. It doubles
 	// while they come in quick succession, as at a start, so that one call reads
 	// many of them; a configuration must be in force within 3 s.
 	minWatchPause = 30 * time.Millisecond
-	maxWatchPause = 400 * time.Millisecond
+	maxWatchPause = 800 * time.Millisecond
 	// quickSuccession is how soon after a watch was sent changes must have come to
 	// count as such.
 	quickSuccession = 500 * time.Millisecond
@@ -101,15 +97,21 @@
 	return revision, nil
 }
 
+// watchTime returns how long the store may hold a watch when its silence must be
+// noticed within a time. A watch can be deaf: when the store forgets its history,
+// one that waits is told neither of changes nor of that. So each must end in time.
+func watchTime(silence time.Duration) time.Duration { return silence - watchSlack - watchMargin }
+
 // watchOnce waits for changes after a revision. pause is how long it rests after
 // such, and is kept by the caller from one watch to the next.
 func (i *Instance) watchOnce(after int64, afterFailure bool, pause *time.Duration) (int64, error) {
-	wait := min(maxWatch, i.settings.StoreSilence-watchSlack-watchMargin)
+	wait := watchTime(i.settings.StoreSilence)
 	if afterFailure {
 		wait = time.Millisecond // an answer soon confirms the grants
 	}
 	ctx, cancel := context.WithTimeout(i.ctx, wait+watchSlack)
 	defer cancel()
+	i.stopWatch.Store(&cancel)
 	sent := i.now()
 	events, revision, err := i.platform.Store.Watch(ctx, "", after, wait)
 	if err != nil {
@@ -181,12 +183,12 @@
 
 // Settings of the questions to the other instances.
 const (
-	// attestAfter is for how long the store must not have confirmed the grants: half
-	// of the time for which they last, more than two watches take.
-	attestAfter = lead.GrantValidity / 2
-	// attestEvery is the pause between two rounds: the last one before a grant would
-	// lapse is soon enough to be repeated.
-	attestEvery = 2 * time.Second
+	// attestAfter is for how long the store must not have confirmed the grants: more
+	// than two watches (6 to 8 s on the sheets), of the 15 s for which grants last.
+	attestAfter = 11 * time.Second
+	// attestEvery is the pause between two rounds: there is time for three before a
+	// grant lapses.
+	attestEvery = time.Second
 )
 
 // attest has the other instances stand in for the store while it is silent.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -61,7 +61,7 @@
 	MetricsListen string        // empty: no metrics are served
 	Grace         time.Duration // after which the platform ends a process that was asked to stop
 	LeaseTTL      time.Duration
-	StoreSilence  time.Duration // within which it must be noticed that the store is silent
+	StoreSilence  time.Duration // within which it must be noticed that the store is silent, or a watch deaf
 	MaxCallers    int
 }
 
@@ -111,6 +111,9 @@
 
 	callerAddr string // set by Start
 
+	doubted   atomic.Bool                        // a renewal of the lease got no answer since the last that did
+	stopWatch atomic.Pointer[context.CancelFunc] // ends the watch under way
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
--- a/internal/fleet/register.go
+++ b/internal/fleet/register.go
@@ -52,17 +52,31 @@
 	started := i.now()
 	switch err := i.platform.Store.Renew(ctx, id); {
 	case errors.Is(err, kv.ErrNoLease):
+		i.storeAnswers()
 		log.Warn("registration: the lease is over; registering anew")
 		i.lease.CompareAndSwap(int64(id), 0)
 		return 0
 	case err != nil:
+		i.doubted.Store(true)
 		log.WithError(err).Info("registration: the lease was not renewed")
 		return registerPause
 	}
+	i.storeAnswers()
 	i.forget(view)
 	return max(registerPause, i.settings.LeaseTTL/renewalsPerTTL-(i.now()-started))
 }
 
+// storeAnswers begins the watch anew when the store answers after it did not: the
+// watch may hang on a connection that broke silently meanwhile.
+func (i *Instance) storeAnswers() {
+	if !i.doubted.Swap(false) {
+		return
+	}
+	if stop := i.stopWatch.Load(); stop != nil {
+		(*stop)()
+	}
+}
+
 // register opens a lease and writes the instance's entry, together with the sign
 // that it is alive.
 func (i *Instance) register(view *lead.View) error {
