A member that lags was not offered the statement

Found by reading: a replica's LAGGING counted as an offer, so that a statement which no member could have run was held for its whole objective. Now only one that ran it, or had no room for it, counts.

--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -231,7 +231,7 @@
 	if others {
 		timeout = min(timeout, a.now()+max(minReadTimeout, time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
 	}
-	return a.tryUnder(context.Background(), up, nil, nil, required, waitUntil, timeout)
+	return a.tryAt(context.Background(), target{up: up, after: required}, waitUntil, timeout)
 }
 
 // tryPrimary offers the statement to the primary, under a pass.
@@ -250,17 +250,26 @@
 		a.why = "the primary's entry is gone"
 		return statement.Answer{}, noRoom
 	}
-	answer, out := a.tryUnder(ctx, up, pass, breaker, group.Position{}, waitUntil, a.deadline)
+	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker}, waitUntil, a.deadline)
 	if a.s.tx == nil || a.s.tx.pass != pass {
 		pass.Done()
 	}
 	return answer, out
 }
 
-// tryUnder has one member run the statement.
-func (a *attempt) tryUnder(ctx context.Context, up *upstream, pass *lead.Pass, b *breaker, after group.Position, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
-	relay := a.s.relay
-	a.lastMember, a.lastAfter = up.member.ID, after
+// target is a member that is to run a statement.
+type target struct {
+	up      *upstream
+	pass    *lead.Pass     // for the primary; nil: a replica
+	breaker *breaker       // with a pass only
+	after   group.Position // that its log must hold; zero: any
+}
+
+// tryAt has one member run the statement. A connection is waited for until
+// waitUntil, the answer until timeout.
+func (a *attempt) tryAt(ctx context.Context, t target, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
+	relay, up := a.s.relay, t.up
+	a.lastMember, a.lastAfter = up.member.ID, t.after
 	lease, err := up.pool.Acquire(ctx, pool.Request{
 		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
 		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
@@ -271,8 +280,8 @@
 		a.noteNoRoom(up, err)
 		return statement.Answer{}, noRoom
 	}
-	held := &hold{lease: lease, breaker: b}
-	if !b.guard(lease.Conn) {
+	held := &hold{lease: lease, breaker: t.breaker}
+	if !t.breaker.guard(lease.Conn) {
 		held.release()
 		a.why = "the primary is being changed"
 		return statement.Answer{}, noRoom
@@ -286,18 +295,20 @@
 	asked := a.now()
 	stuck := time.AfterFunc(stuckAfter, lease.Park)
 	defer stuck.Stop()
-	answer, err := lease.Conn.Run(request(a.st, a.needed, after, relay.wall(timeout)))
+	answer, err := lease.Conn.Run(request(a.st, a.needed, t.after, relay.wall(timeout)))
 	if err != nil {
 		held.release()
 		up.noteMiss(a.now())
-		return a.lostAnswer(up, b.cause(err))
+		return a.lostAnswer(up, t.breaker.cause(err))
 	}
-	relay.noteAnswer(up, a.group, pass, asked, answer)
-	a.offered = true
+	relay.noteAnswer(up, a.group, t.pass, asked, answer)
 	if answer.Err != nil && answer.Err.Code.NotRun() && answer.Err.Code != statement.Malformed {
+		// One that has no room could run it; one that lags or does not lead could not.
+		a.offered = a.offered || answer.Err.Code == statement.Busy
 		return a.refusedBy(up, held, answer)
 	}
-	return a.settle(up, held, pass, answer)
+	a.offered = true
+	return a.settle(up, held, t.pass, answer)
 }
 
 // noteNoRoom records why no connection could be had.
