Planned stop: an announcement gives what is in flight a moment to be answered

Cause: the successor's announcement overtook the old owner's word that it had not taken a statement up, and the entry broke the stream off at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -180,8 +180,7 @@
 func (t *Tx) attempt(ctx context.Context, req *peerpb.RunRequest, emit func([]byte) error) (Result, error) {
 	var r Result
 	if remote, ok := t.stream.(*peer.Stream); ok {
-		stop := context.AfterFunc(t.epoch, remote.Break)
-		defer stop()
+		defer breakAfter(t.epoch, remote.Break)()
 	}
 	started := time.Now()
 	err := t.stream.Handle(ctx, req, func(reply *peerpb.RunReply) error {
@@ -208,6 +207,36 @@
 	return r, nil
 }
 
+// announcedGrace is how long an instance that was replaced as the owner may still
+// answer. In a planned hand-over it says within some milliseconds that it has not
+// taken a request up, and the successor's announcement may come first. That its
+// answer may not be passed on too late is checked apart from this.
+const announcedGrace = 100 * time.Millisecond
+
+// breakAfter calls f when the epoch has been over for a while, unless the function
+// that it returns was called before.
+func breakAfter(epoch context.Context, f func()) (stop func()) {
+	var mu sync.Mutex
+	var timer *time.Timer
+	stopped := false
+	unregister := context.AfterFunc(epoch, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !stopped {
+			timer = time.AfterFunc(announcedGrace, f)
+		}
+	})
+	return func() {
+		unregister()
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+}
+
 // settle turns a broken stream into a refusal and lets go of a stream whose
 // transaction has ended.
 func (t *Tx) settle(r Result, err error) Result {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -31,6 +34,21 @@
 	must.Error(t, atA.Err())
 }
 
+// The end of an epoch does not cut off an answer that is about to come: what ends
+// meanwhile is left alone, and only what does not is broken off.
+func TestReplacedOwnerMayStillAnswer(t *testing.T) {
+	epoch, end := context.WithCancel(t.Context())
+	var broken atomic.Bool
+	stop := breakAfter(epoch, func() { broken.Store(true) })
+	end()
+	stop()
+	time.Sleep(2 * announcedGrace)
+	must.False(t, broken.Load())
+	late := make(chan struct{})
+	defer breakAfter(epoch, func() { close(late) })()
+	<-late
+}
+
 func TestTargetFollowsWhatWasLearned(t *testing.T) {
 	d := New("me", placement{"a", "b"}, peer.NewClient(nil, &peer.Traffic{}))
 	must.Eq(t, "a", d.target("g", 1))
