--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -162,11 +162,11 @@
 		return nil, fmt.Errorf("%w: its record is another now", errNotLeader)
 	}
 	cleared := c.clearGrants(ctx, group, revision, change, record)
-	if !cleared.done && !cleared.wellHere {
+	if !cleared.done && !cleared.stays {
 		return nil, errGrantsRemain
 	}
 	record.Change = nil
-	if cleared.wellHere {
+	if cleared.stays {
 		c.log.WithFields(logrus.Fields{"group": group, "member": record.Primary}).Info("lead: the primary is well again and stays")
 		return &outcome{record: record, revision: revision}, nil
 	}
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -14,9 +14,9 @@
 
 // clearing is how the end of the old primary's use was reached.
 type clearing struct {
-	done     bool          // no instance uses the old primary any more
-	wellHere bool          // or it is well after all, and stays
-	last     member.Status // what the old primary said when it stepped down
+	done  bool          // no instance uses the old primary any more
+	stays bool          // or it is well after all, and stays the primary
+	last  member.Status // what the old primary said when it stepped down
 }
 
 // clearGrants returns once no instance uses the old primary any more, or once
@@ -38,7 +38,7 @@
 	for {
 		select {
 		case err := <-released:
-			return clearing{done: err == nil, last: c.lastWords(ctx, change, record)}
+			return clearing{done: err == nil, last: c.finalStatus(ctx, change, record)}
 		case <-time.After(patience):
 		case <-ctx.Done():
 			return clearing{}
@@ -48,7 +48,7 @@
 			continue
 		}
 		if !change.Planned && !old.Draining && c.leads(ctx, old, record.Term) {
-			return clearing{wellHere: true}
+			return clearing{stays: true}
 		}
 		if status, ok := c.stepDown(ctx, old, record.Term); ok {
 			return clearing{done: true, last: status}
@@ -56,9 +56,9 @@
 	}
 }
 
-// lastWords returns what a primary that is replaced as planned says when it
+// finalStatus returns what a primary that is replaced as planned says when it
 // steps down, so that its successor can be awaited to have received all of it.
-func (c *Controller) lastWords(ctx context.Context, change Change, record Record) member.Status {
+func (c *Controller) finalStatus(ctx context.Context, change Change, record Record) member.Status {
 	old, known := c.around.Topology().Members[record.Primary]
 	if !change.Planned || !known {
 		return member.Status{}
