relay: what is fixed of a member is not written again

The entry is now kept apart: id, group and address never change, draining is read under the lock. TestMembersChangeUnderTraffic fails without.

--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -269,7 +269,7 @@
 // waitUntil, the answer until timeout.
 func (a *attempt) tryAt(ctx context.Context, t target, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay, up := a.s.relay, t.up
-	a.lastMember, a.lastAfter = up.member.ID, t.after
+	a.lastMember, a.lastAfter = up.id, t.after
 	lease, err := up.pool.Acquire(ctx, pool.Request{
 		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
 		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
@@ -313,7 +313,7 @@
 
 // noteNoRoom records why no connection could be had.
 func (a *attempt) noteNoRoom(up *upstream, err error) {
-	a.why = "member " + up.member.ID + ": " + err.Error()
+	a.why = "member " + up.id + ": " + err.Error()
 	var refusal *statement.Error
 	switch {
 	case errors.Is(err, connpool.ErrDeadline), errors.Is(err, connpool.ErrQueueFull),
@@ -327,7 +327,7 @@
 // lostAnswer decides about a statement whose answer did not arrive. What cannot
 // have changed anything may run again: a read, and a transaction's beginning.
 func (a *attempt) lostAnswer(up *upstream, err error) (statement.Answer, outcome) {
-	a.s.relay.logLost(a.s, a.st, up.member.ID, err)
+	a.s.relay.logLost(a.s, a.st, up.id, err)
 	a.why = err.Error()
 	if a.reads || a.st.Kind == statement.Begin {
 		return statement.Answer{}, notRun
@@ -338,7 +338,7 @@
 // refusedBy handles a member's word that it did not run the statement.
 func (a *attempt) refusedBy(up *upstream, held *hold, answer statement.Answer) (statement.Answer, outcome) {
 	held.release()
-	a.why = "member " + up.member.ID + ": " + answer.Err.Error()
+	a.why = "member " + up.id + ": " + answer.Err.Error()
 	if code := answer.Err.Code; code == statement.ReadOnly || code == statement.Misrouted {
 		up.noteMiss(a.now())
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -192,7 +192,7 @@
 func (s *session) loseTx(st statement.Statement, cause error, sent bool) statement.Answer {
 	tx := s.tx
 	cause = tx.held.breaker.cause(cause)
-	s.relay.logLost(s, st, tx.up.member.ID, cause)
+	s.relay.logLost(s, st, tx.up.id, cause)
 	if sent && errors.Is(cause, member.ErrBroken) {
 		tx.up.noteMiss(s.relay.now())
 	}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -134,6 +134,35 @@
 	must.NoError(t, b.gate.Release(t.Context(), 2, 0))
 }
 
+// The members change while statements run; the race detector watches.
+func TestMembersChangeUnderTraffic(t *testing.T) {
+	b := newBench(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := range 50 {
+			state := topology.New(0)
+			state.SetConfig(b.relay.snapshot().Config)
+			for _, id := range []string{"m1", "m2"} {
+				m := b.group.Entry(id)
+				m.Draining = n%2 == 0
+				state.SetMember(m)
+			}
+			b.relay.upstreams.Update(state.Snapshot(), 1+n%3)
+		}
+	}()
+	s := newSession(b.relay, "bounded")
+	for served := 0; ; served++ {
+		must.Nil(t, b.run(s, statement.Read, "READ 1").Err)
+		select {
+		case <-done:
+			must.Positive(t, served)
+			return
+		default:
+		}
+	}
+}
+
 func cancelled(t *testing.T) context.Context {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -47,10 +47,13 @@
 
 // upstream is one member with its connections and what was seen of it.
 type upstream struct {
-	member topology.Member
-	pool   *connpool.Pool[*member.Shared]
+	id      string
+	group   string
+	address string
+	pool    *connpool.Pool[*member.Shared]
 
 	mu       sync.Mutex // guards the rest
+	draining bool
 	health   member.Health
 	position group.Position // end of its log, as its answers told
 	behind   time.Duration  // how long ago the primary was there; negative: not known
@@ -101,7 +104,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, up := range u.members {
-		if now, ok := snap.Members[id]; !ok || now.Address != up.member.Address {
+		if now, ok := snap.Members[id]; !ok || now.Address != up.address {
 			up.pool.Close()
 			delete(u.members, id)
 		}
@@ -115,7 +118,7 @@
 		up.pool.SetCapacity(Share(snap.Groups[m.Group].MaxConnections, instances))
 		up.pool.SetMaxActive(ActiveShare(m.Slots, CarrierCount(snap.Groups[m.Group].MaxConnections, instances)))
 		up.mu.Lock()
-		up.member = m
+		up.draining = m.Draining
 		up.mu.Unlock()
 	}
 }
@@ -139,7 +142,7 @@
 }
 
 func (u *Upstreams) newUpstream(m topology.Member) *upstream {
-	up := &upstream{member: m, behind: -1}
+	up := &upstream{id: m.ID, group: m.Group, address: m.Address, draining: m.Draining, behind: -1}
 	cfg := connpool.Config{
 		Queue:       pool.Config{Capacity: 1, MaxQueue: maxQueue, Patient: true},
 		Dials:       concurrentDials,
@@ -218,7 +221,7 @@
 			continue
 		}
 		log.WithFields(logrus.Fields{
-			"group": up.member.Group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
+			"group": up.group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
 			"connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
@@ -231,7 +234,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, up := range u.members {
-		labels := `{group="` + up.member.Group + `",member="` + id + `"}`
+		labels := `{group="` + up.group + `",member="` + id + `"}`
 		metrics.WriteGaugeUint64(w, "stackspindle_member_connections"+labels, uint64(up.pool.Open()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_in_use"+labels, uint64(up.pool.InUse()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_waiting"+labels, uint64(up.pool.Waiting()))
@@ -304,8 +307,8 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	return routing.Candidate{
-		ID:       up.member.ID,
-		Draining: up.member.Draining,
+		ID:       up.id,
+		Draining: up.draining,
 		Usable:   up.health.Usable(now),
 		Refused:  now < up.lagUntil,
 		Position: up.position,
