--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -60,15 +60,23 @@
 	IdleTransaction time.Duration // idle within a transaction, then it is rolled back
 }
 
+// Defaults of the bounds on callers. They are choices, not measured: a slow client's
+// sign-on, a client that has stopped reading, and a forgotten transaction.
+const (
+	defaultAuthTimeout     = 10 * time.Second
+	defaultWriteTimeout    = 30 * time.Second
+	defaultIdleTransaction = 60 * time.Second
+)
+
 // DefaultOptions returns the settings used when nothing else is configured.
 func DefaultOptions() Options {
 	return Options{
 		Authenticate:    true,
 		MaxCallers:      10_000,
 		MaxMessage:      64 << 20,
-		AuthTimeout:     10 * time.Second,
-		WriteTimeout:    30 * time.Second,
-		IdleTransaction: 60 * time.Second,
+		AuthTimeout:     defaultAuthTimeout,
+		WriteTimeout:    defaultWriteTimeout,
+		IdleTransaction: defaultIdleTransaction,
 	}
 }
 
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -25,7 +25,7 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "listen-base", Value: 6432, Usage: "first of the `PORT`s for callers"},
 			&cli.StringFlag{Name: "operator", Value: "127.0.0.1:8432", Usage: "`ADDRESS` for operators"},
-			&cli.DurationFlag{Name: "lag", Value: 200 * time.Millisecond, Usage: "replication lag"},
+			&cli.DurationFlag{Name: "lag", Value: demoLag, Usage: "replication lag"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			log, err := newLogger(cmd)
@@ -58,7 +58,10 @@
 	}
 }
 
-// demoStart bounds the start of the demo.
+// demoLag is the stand-in's replication lag: long enough to be seen by hand.
+const demoLag = 200 * time.Millisecond
+
+// demoStart bounds the start of the demo, which takes a fraction of it.
 const demoStart = 10 * time.Second
 
 const demoText = `
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -281,7 +281,8 @@
 	return err
 }
 
-// followEvery is how often timeline --follow asks for new events.
+// followEvery is how often timeline --follow asks for new events: soon enough for
+// an eye.
 const followEvery = 500 * time.Millisecond
 
 func runTimeline(ctx context.Context, cmd *cli.Command) error {
