Feed: few instances watch the store, the others follow them

Change: internal/feed. Two instances of a data centre (more from 32 on) watch; the others ask them in turn, over the peer protocol, and go to the store, the watchers elsewhere and any other instance when those fail or get no news. Whoever the store turns away follows others too. What is learned carries the time of the store call, so grants are confirmed as before. Store calls that fail are repeated less often.

Tests: TestConfigurationReachesAnInstanceThatTheStoreTurnsAway, TestFewInstancesWatchTheStore (the first failed before), properties of internal/feed.

--- /dev/null
+++ b/internal/feed/exchange.go
@@ -0,0 +1,90 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/stackspindle/stackspindle/internal/feed/feedpb"
+	"github.com/stackspindle/stackspindle/internal/kv"
+)
+
+const (
+	// maxWait bounds how long a question is held.
+	maxWait = 5 * time.Second
+	// maxAnswer bounds an answer: 550 instances and 1,830 members of some 0.3 KB,
+	// and a configuration of up to 1 MB.
+	maxAnswer = 16 << 20
+)
+
+// errUninformed is what an instance says that has not read the store yet.
+var errUninformed = status.Error(codes.FailedPrecondition, "the instance has not read the store yet")
+
+// Server answers the questions of those that follow. It implements feedpb.FeedServer.
+type Server struct {
+	feedpb.UnimplementedFeedServer
+	mirror *Mirror
+	now    func() time.Duration
+}
+
+// NewServer returns a server of what a mirror holds.
+func NewServer(mirror *Mirror, now func() time.Duration) *Server {
+	return &Server{mirror: mirror, now: now}
+}
+
+// Follow implements feedpb.FeedServer.
+func (s *Server) Follow(ctx context.Context, req *feedpb.FollowRequest) (*feedpb.FollowReply, error) {
+	arrived := s.now()
+	wait := time.NewTimer(min(time.Duration(req.WaitUs)*time.Microsecond, maxWait))
+	defer wait.Stop()
+	for over := false; ; {
+		p, changed := s.mirror.Since(req.After)
+		if p.Revision == 0 {
+			return nil, errUninformed
+		}
+		if p.Revision > req.After || over {
+			p.Doubtful = s.mirror.Doubtful(s.now())
+			return encode(p, arrived), nil
+		}
+		select {
+		case <-changed:
+		case <-wait.C:
+			over = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// Ask asks another instance for what has changed after a revision. sent is the
+// time now: the store held nothing newer at that time plus what the answer says,
+// since the question arrived no earlier than it was sent.
+func Ask(ctx context.Context, client feedpb.FeedClient, after int64, wait, sent time.Duration) (Picture, error) {
+	reply, err := client.Follow(ctx, &feedpb.FollowRequest{After: after, WaitUs: wait.Microseconds()}, grpc.MaxCallRecvMsgSize(maxAnswer))
+	if err != nil {
+		return Picture{}, fmt.Errorf("follow: %w", err)
+	}
+	return decode(reply, sent), nil
+}
+
+func encode(p Picture, arrived time.Duration) *feedpb.FollowReply {
+	reply := &feedpb.FollowReply{Revision: p.Revision, Whole: p.Whole, ConfirmedNs: (p.Confirmed - arrived).Nanoseconds(), Doubtful: p.Doubtful}
+	for _, e := range p.Events {
+		reply.Items = append(reply.Items, &feedpb.Item{Key: e.Key, Value: e.Value, Revision: e.Revision, Lease: int64(e.Lease), Deleted: e.Deleted})
+	}
+	return reply
+}
+
+func decode(reply *feedpb.FollowReply, sent time.Duration) Picture {
+	p := Picture{Whole: reply.Whole, Revision: reply.Revision, Confirmed: sent + time.Duration(reply.ConfirmedNs), Doubtful: reply.Doubtful}
+	for _, i := range reply.Items {
+		p.Events = append(p.Events, kv.Event{
+			Item: kv.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Lease: kv.LeaseID(i.Lease)}, Deleted: i.Deleted,
+		})
+	}
+	return p
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,236 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+	"pgregory.net/rapid"
+
+	"github.com/stackspindle/stackspindle/internal/feed/feedpb"
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/ownership"
+)
+
+func put(key string, revision int64) kv.Event {
+	return kv.Event{Item: kv.Item{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision}}
+}
+
+func removal(key string, revision int64) kv.Event {
+	return kv.Event{Item: kv.Item{Key: key, Revision: revision}, Deleted: true}
+}
+
+// Whoever follows a mirror, from whatever it knew and through whichever others,
+// ends with what the store holds.
+func TestFollowersSeeWhatTheStoreHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := make(map[string]int64)
+		var history []kv.Event
+		mirrors := []*Mirror{NewMirror(), NewMirror(), NewMirror()}
+		revision := int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
+				revision++
+				if _, there := store[key]; there && rapid.Bool().Draw(t, "remove") {
+					delete(store, key)
+					history = append(history, removal(key, revision))
+				} else {
+					store[key] = revision
+					history = append(history, put(key, revision))
+				}
+			case 2: // one reads the store anew
+				whole := Picture{Whole: true, Revision: revision}
+				for key, at := range store {
+					whole.Events = append(whole.Events, put(key, at))
+				}
+				mirrors[rapid.IntRange(0, 2).Draw(t, "who")].Take(whole)
+			case 3: // one watches the store
+				m := mirrors[rapid.IntRange(0, 2).Draw(t, "who")]
+				if m.Revision() == 0 {
+					continue
+				}
+				changes := Picture{Revision: revision}
+				for _, e := range history {
+					if e.Revision > m.Revision() {
+						changes.Events = append(changes.Events, e)
+					}
+				}
+				m.Take(changes)
+			case 4: // one follows another
+				from, to := mirrors[rapid.IntRange(0, 2).Draw(t, "from")], mirrors[rapid.IntRange(0, 2).Draw(t, "to")]
+				if from.Revision() > 0 {
+					p, _ := from.Since(to.Revision())
+					to.Take(p)
+				}
+			}
+		}
+		for _, m := range mirrors {
+			if m.Revision() < revision || revision == 0 {
+				continue
+			}
+			held := make(map[string]int64)
+			for key, item := range m.items {
+				held[key] = item.Revision
+			}
+			if !maps.Equal(store, held) {
+				t.Fatalf("held %v, in the store %v", held, store)
+			}
+		}
+	})
+}
+
+func TestOlderPictureTakesNothingBack(t *testing.T) {
+	m := NewMirror()
+	m.Take(Picture{Whole: true, Revision: 5, Events: []kv.Event{put("a", 5)}, Confirmed: time.Second})
+	news := m.Take(Picture{Whole: true, Revision: 3, Events: []kv.Event{put("a", 2), put("b", 3)}, Confirmed: 2 * time.Second})
+	must.False(t, news.Whole)
+	must.Eq(t, 5, m.Revision())
+	p, _ := m.Since(0)
+	must.True(t, p.Whole)
+	must.Eq(t, int64(5), p.Events[len(p.Events)-1].Revision)
+	must.Eq(t, 2*time.Second, p.Confirmed, must.Sprint("it did show that there was nothing newer"))
+}
+
+func TestManyRemovalsAreForgotten(t *testing.T) {
+	m := NewMirror()
+	m.Take(Picture{Whole: true, Revision: 1})
+	for n := int64(1); n <= maxTombstones+1; n++ {
+		m.Take(Picture{Revision: 2 * n, Events: []kv.Event{put("k", 2*n)}})
+		m.Take(Picture{Revision: 2*n + 1, Events: []kv.Event{removal(fmt.Sprint("k", n), 2*n+1)}})
+	}
+	must.LessEq(t, maxTombstones, len(m.removed))
+	p, _ := m.Since(2)
+	must.True(t, p.Whole)
+	p, _ = m.Since(m.Revision() - 1)
+	must.True(t, p.Whole || len(p.Events) > 0)
+}
+
+// client asks a server of the same process.
+type client struct{ server *Server }
+
+func (c client) Follow(ctx context.Context, req *feedpb.FollowRequest, _ ...grpc.CallOption) (*feedpb.FollowReply, error) {
+	return c.server.Follow(ctx, req)
+}
+
+// The time that a follower takes for confirmed never lies after the sending of the
+// store call, whatever the two clocks say.
+func TestConfirmationIsNeverTooLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		span := rapid.Int64Range(0, int64(10*time.Second))
+		offset := time.Duration(span.Draw(t, "offset of the sender's clock"))
+		asked := time.Duration(span.Draw(t, "asked"))
+		arrived := asked + time.Duration(span.Draw(t, "way"))
+		stored := time.Duration(span.Draw(t, "store call"))
+		mirror := NewMirror()
+		mirror.Take(Picture{Whole: true, Revision: 1, Confirmed: stored + offset})
+		server := NewServer(mirror, func() time.Duration { return arrived + offset })
+		p, err := Ask(context.Background(), client{server}, 0, 0, asked)
+		must.NoError(t, err)
+		must.LessEq(t, stored, p.Confirmed)
+	})
+}
+
+// An instance that gets no news says so once that is certain, and not while others
+// feed it.
+func TestDoubtfulInstance(t *testing.T) {
+	m := NewMirror()
+	m.NoteSource(0, true)
+	m.NoteSource(time.Second, false)
+	must.False(t, m.Doubtful(time.Second))
+	must.True(t, m.Doubtful(doubtAfter))
+	m.NoteSource(doubtAfter, true)
+	must.False(t, m.Doubtful(2*doubtAfter), must.Sprint("it waits for its source"))
+}
+
+func TestInstanceThatKnowsNothingTellsNothing(t *testing.T) {
+	server := NewServer(NewMirror(), func() time.Duration { return 0 })
+	_, err := Ask(context.Background(), client{server}, 0, time.Second, 0)
+	must.Error(t, err)
+}
+
+func TestFollowerIsToldAtOnce(t *testing.T) {
+	mirror := NewMirror()
+	mirror.Take(Picture{Whole: true, Revision: 1})
+	server := NewServer(mirror, func() time.Duration { return 0 })
+	answered := make(chan Picture)
+	go func() {
+		p, err := Ask(context.Background(), client{server}, 1, maxWait, 0)
+		if err == nil {
+			answered <- p
+		}
+	}()
+	mirror.Take(Picture{Revision: 2, Events: []kv.Event{put("a", 2)}})
+	must.Eq(t, 2, (<-answered).Revision)
+}
+
+func instances(dataCentre string, n int) []ownership.Instance {
+	var list []ownership.Instance
+	for k := range n {
+		list = append(list, ownership.Instance{Name: fmt.Sprintf("%s-%d", dataCentre, k), DataCentre: dataCentre})
+	}
+	return list
+}
+
+func TestWatchers(t *testing.T) {
+	for n, want := range map[int]int{0: 0, 1: 1, 3: 2, 25: 2, 92: 5} {
+		must.Len(t, want, Watchers(instances("a", n), "a"), must.Sprint(n))
+	}
+}
+
+// A follower goes through its sources as they fail, and back as they answer.
+func TestSources(t *testing.T) {
+	alive := append(instances("a", 6), instances("b", 6)...)
+	near, far := Watchers(alive, "a"), Watchers(alive, "b")
+	var self ownership.Instance
+	for _, i := range alive[:6] {
+		if i.Name != near[0] && i.Name != near[1] {
+			self = i
+		}
+	}
+	s := NewSources(self)
+	first, second := s.Next(0, alive).Name, s.Next(0, alive).Name
+	must.SliceContainsAll(t, near, []string{first, second}, must.Sprint("each in turn"))
+	must.True(t, s.Failed(0, near[0]))
+	must.False(t, s.Failed(0, near[0]))
+	must.Eq(t, near[1], s.Next(0, alive).Name)
+	must.Eq(t, near[1], s.Next(0, alive).Name)
+	s.Failed(0, near[1])
+	must.Eq(t, Store, s.Next(0, alive).Name, must.Sprint("the cut may be around this instance"))
+	s.Failed(0, Store)
+	must.Eq(t, far[0], s.Next(0, alive).Name)
+	s.Failed(0, far[0])
+	s.Failed(0, far[1])
+	last := s.Next(0, alive).Name
+	must.SliceNotContains(t, slices.Concat(near, far, []string{Store}), last, must.Sprint("any other that may hear the store"))
+	for _, i := range alive {
+		if i.Name != near[0] && i.Name != near[1] && i.Name != far[0] && i.Name != far[1] {
+			s.Failed(0, i.Name)
+		}
+	}
+	must.Eq(t, Choice{Name: s.Next(0, alive).Name, Rest: minPause}, s.Next(0, alive), must.Sprint("none is left: the first that may be asked again"))
+	must.True(t, s.Answered(near[1]))
+	must.False(t, s.Answered(near[1]))
+	must.Eq(t, Choice{Name: near[1]}, s.Next(0, alive))
+}
+
+func TestWatcherAsksTheStoreFirst(t *testing.T) {
+	alive := instances("a", 6)
+	watchers := Watchers(alive, "a")
+	s := NewSources(ownership.Instance{Name: watchers[0], DataCentre: "a"})
+	must.Eq(t, Store, s.Next(0, alive).Name)
+	s.Failed(0, Store)
+	must.Eq(t, watchers[1], s.Next(0, alive).Name, must.Sprint("turned away, it follows others"))
+	must.Eq(t, Store, s.Next(minPause, alive).Name)
+}
+
+func TestFirstInstanceAsksTheStore(t *testing.T) {
+	s := NewSources(ownership.Instance{Name: "x", DataCentre: "a"})
+	must.Eq(t, Store, s.Next(0, nil).Name)
+}
--- /dev/null
+++ b/internal/fleet/control.go
@@ -0,0 +1,203 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/relay"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// memberGrace is how long a member whose entry has vanished is still used.
+// Entries that lapse while the store is away, or while their member cannot
+// reach it, come back; work for one that is gone must end within 7 s.
+const memberGrace = 4 * time.Second
+
+// control holds the control state: it takes in what the follower learned,
+// publishes snapshots, and looks at what is due.
+func (i *Instance) control() error {
+	state := topology.New(memberGrace)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	report := time.NewTicker(reportInterval)
+	defer report.Stop()
+	for {
+		select {
+		case c := <-i.changes:
+			i.takeIn(state, c)
+			close(c.taken)
+		case <-ticker.C:
+			if state.Expire(i.now()) {
+				i.publish(state)
+			}
+			i.upstreams.Shrink()
+		case <-report.C:
+			i.upstreams.Report(i.part("relay"))
+		case <-i.ctx.Done():
+			return nil
+		}
+		i.relay.Gates(func(_ string, g *lead.Gate) { g.Enforce(enforceDrain) })
+		if !i.stopping.Load() {
+			i.controller.Tick(i.ctx)
+			i.attest()
+		}
+	}
+}
+
+// Settings of the questions to the other instances.
+const (
+	// attestAfter is for how long the store must not have confirmed the grants: more
+	// than two watches (6 to 8 s on the sheets), of the 15 s for which grants last.
+	attestAfter = 11 * time.Second
+	// attestEvery is the pause between two rounds: there is time for three before a
+	// grant lapses.
+	attestEvery = time.Second
+)
+
+// attest has the other instances stand in for the store while it is silent.
+func (i *Instance) attest() {
+	now := i.now()
+	heard, asked := time.Duration(i.heardAt.Load()), time.Duration(i.askedAt.Load())
+	if !i.registeredOnce.Load() || now-heard < attestAfter || now-asked < attestEvery || i.attesting.Swap(true) {
+		return
+	}
+	i.askedAt.Store(int64(now))
+	i.spawn(func() {
+		defer i.attesting.Store(false)
+		if sent, ok := i.controller.Attest(i.ctx); ok {
+			i.attestAt.Store(int64(sent))
+		}
+	})
+}
+
+// takeIn puts a change in force.
+func (i *Instance) takeIn(state *topology.State, c change) {
+	view, err := i.applyView(c)
+	if err != nil {
+		i.part("control").WithError(err).Error("control: an entry of our own could not be read and is left out")
+	}
+	if i.applyTopology(state, c) {
+		i.publish(state)
+	}
+	if c.Whole || len(c.Events) > 0 {
+		i.view.Store(view)
+		for group := range i.topology.Load().Groups {
+			if record, revision := view.Record(group); revision > 0 {
+				i.relay.Gate(group).Learn(record, revision)
+			}
+		}
+		i.share(i.topology.Load())
+	}
+	if c.Whole {
+		i.knownOnce.Do(func() { close(i.known) })
+	}
+	if view.IsAlive(i.self.Name, i.self.Incarnation) && !i.stopping.Load() {
+		i.registeredOnce.Store(true)
+		i.heardAt.Store(int64(c.Confirmed))
+		i.relay.Gates(func(_ string, g *lead.Gate) { g.Confirm(c.Confirmed) })
+	}
+}
+
+func (i *Instance) applyView(c change) (*lead.View, error) {
+	if c.Whole {
+		return i.view.Load().Replace(i.now(), c.Items())
+	}
+	if len(c.Events) == 0 {
+		return i.view.Load(), nil
+	}
+	return i.view.Load().Apply(i.now(), c.Events)
+}
+
+// applyTopology takes in configuration and members, and reports whether anything
+// changed.
+func (i *Instance) applyTopology(state *topology.State, c change) bool {
+	changed := false
+	if c.Whole {
+		present := make(map[string]bool)
+		for _, e := range c.Events {
+			changed = i.applyKey(state, e) || changed
+			if id, ok := i.platform.Decoder.MemberID(e.Key); ok {
+				present[id] = true
+			}
+		}
+		state.KeepMembers(i.now(), present)
+		return changed
+	}
+	for _, e := range c.Events {
+		changed = i.applyKey(state, e) || changed
+	}
+	return changed
+}
+
+func (i *Instance) applyKey(state *topology.State, e kv.Event) bool {
+	log := i.part("control").WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision})
+	decoder := i.platform.Decoder
+	if decoder.IsConfig(e.Key) && !e.Deleted {
+		config, err := decoder.Config(e.Value)
+		if err != nil {
+			log.WithError(err).Error("control: the configuration cannot be read; the one before stays in force")
+			return false
+		}
+		if !state.SetConfig(config) {
+			return false
+		}
+		log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("control: a configuration is in force")
+		return true
+	}
+	id, ok := decoder.MemberID(e.Key)
+	if !ok {
+		return false
+	}
+	if e.Deleted {
+		log.WithField("member", id).Info("control: a member's entry has vanished")
+		state.DropMember(i.now(), id)
+		return false
+	}
+	m, err := decoder.Member(id, e.Value)
+	if err != nil {
+		log.WithError(err).Error("control: a member's entry cannot be read and is left out")
+		return false
+	}
+	if state.SetMember(m) {
+		log.WithFields(logrus.Fields{"member": id, "group": m.Group, "draining": m.Draining, "claims_primary": m.Primary}).
+			Info("control: a member's entry has changed")
+		return true
+	}
+	return false
+}
+
+// publish makes the picture known to the traffic.
+func (i *Instance) publish(state *topology.State) {
+	snap := state.Snapshot()
+	i.topology.Store(snap)
+	i.share(snap)
+}
+
+// share decides which instances hold connections to which groups, and how many.
+func (i *Instance) share(snap *topology.Snapshot) {
+	view := i.view.Load()
+	registered := len(view.Registered(i.now()))
+	i.upstreams.Update(snap, registered)
+	i.relay.SetCarriers(relay.Place(snap, i.self, view.Alive(), registered))
+}
+
+// surroundings gives the controller its picture of the instance.
+type surroundings struct{ i *Instance }
+
+func (s surroundings) Topology() *topology.Snapshot { return s.i.topology.Load() }
+func (s surroundings) View() *lead.View             { return s.i.view.Load() }
+func (s surroundings) Gate(group string) *lead.Gate { return s.i.relay.Gate(group) }
+
+func (s surroundings) Lease() kv.LeaseID {
+	if !s.i.view.Load().IsAlive(s.i.self.Name, s.i.self.Incarnation) {
+		return 0
+	}
+	return kv.LeaseID(s.i.lease.Load())
+}
+
+func (s surroundings) Heard(id string) (time.Duration, bool) { return s.i.upstreams.Heard(id) }
+func (s surroundings) Doubtful(id string) bool               { return s.i.upstreams.Doubtful(id) }
+func (s surroundings) NoteAnswer(id string)                  { s.i.upstreams.NoteAnswer(id) }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -391,3 +391,39 @@
 	}
 	return rows
 }
+
+// An instance that the store turns away learns a new configuration from the
+// others. On trouble-1 of ftrb-rosters-grown one refused databases that had been
+// added seconds before.
+func TestConfigurationReachesAnInstanceThatTheStoreTurnsAway(t *testing.T) {
+	f := newFleet(t, 4)
+	for _, client := range f.clients[1:] {
+		client.Set(memstore.Faults{Refuse: true})
+	}
+	config := testConfig()
+	config.Version = 2
+	config.Routes = config.Routes[:1]
+	f.store.Put("config", encodeJSON(t, config))
+	for _, inst := range f.instances {
+		f.eventually("the new configuration is in force", func() bool { return inst.topology.Load().Version == 2 })
+	}
+}
+
+// Instances in the same data centre do not all watch the store.
+func TestFewInstancesWatchTheStore(t *testing.T) {
+	f := newFleet(t, 6)
+	config := testConfig()
+	for n := range 5 {
+		config.Version++
+		f.store.Put("config", encodeJSON(t, config))
+		f.eventually(fmt.Sprintf("change %d is in force everywhere", n), func() bool {
+			for _, inst := range f.instances {
+				if inst.topology.Load().Version != config.Version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	f.eventually("two instances watch", func() bool { return f.store.Watching() == 2 })
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -3,17 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
+	"github.com/stackspindle/stackspindle/internal/feed"
+	"github.com/stackspindle/stackspindle/internal/feed/feedpb"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead"
-	"github.com/stackspindle/stackspindle/internal/relay"
-	"github.com/stackspindle/stackspindle/internal/topology"
+	"github.com/stackspindle/stackspindle/internal/ownership"
 )
 
-// Settings of the calls to the store.
+// Settings of the calls to the store and to those that watch it.
 const (
 	// watchSlack covers the way of a watch and a slow store (0.3 s on the sheets).
 	watchSlack = 700 * time.Millisecond
@@ -29,72 +29,133 @@
 	quickSuccession = 500 * time.Millisecond
 	// storeTimeout bounds any other call.
 	storeTimeout = 1500 * time.Millisecond
-	// minStorePause and maxStorePause bound the pause after a failed call. Each
-	// call is charged, refused ones too.
-	minStorePause = 50 * time.Millisecond
-	maxStorePause = 400 * time.Millisecond
-	// memberGrace is how long a member whose entry has vanished is still used.
-	// Entries that lapse while the store is away, or while their member cannot
-	// reach it, come back; work for one that is gone must end within 7 s.
-	memberGrace = 4 * time.Second
+	// followTime is how long another instance may hold a question, and followSlack
+	// covers its way. Two that are dark in turn delay a change by 1.8 s, of the 3 s
+	// within which a configuration must be in force.
+	followTime  = 600 * time.Millisecond
+	followSlack = 300 * time.Millisecond
 )
 
-// change is what the follower learned from the store.
+// errDoubtful says that another instance gets no news itself.
+var errDoubtful = errors.New("the instance gets no news of the store at the moment")
+
+// change is what the follower learned of the store.
 type change struct {
-	whole  bool // items is all that the store holds; else events came
-	items  []kv.Item
-	events []kv.Event
-	sent   time.Duration // when the call was sent that told it
-	taken  chan struct{} // closed once it is in force
+	feed.Picture
+	taken chan struct{} // closed once it is in force
 }
 
-// follow keeps the picture of the store up to date.
+// follow keeps the picture of the store up to date, from the store or from
+// instances that watch it.
 func (i *Instance) follow() error {
-	log := i.part("follower")
-	pause, rest := minStorePause, minWatchPause
-	var revision int64
-	listed, lost := false, false
+	rest := minWatchPause
+	sources := feed.NewSources(ownership.Instance{Name: i.self.Name, DataCentre: i.self.DataCentre})
 	for i.ctx.Err() == nil {
-		var err error
-		if listed {
-			revision, err = i.watchOnce(revision, lost, &rest)
-		} else {
-			revision, err = i.listOnce()
-		}
+		peers, candidates := i.peersAlive()
+		source := sources.Next(i.now(), candidates)
+		sleep(i.ctx, source.Rest)
+		picture, err := i.askSource(source.Name, peers[source.Name].Address, &rest)
 		switch {
-		case err == nil:
-			if lost {
-				log.WithField("revision", revision).Info("follower: the store answers again")
-			}
-			listed, lost, pause = true, false, minStorePause
-			continue
-		case errors.Is(err, kv.ErrCompacted):
-			log.WithField("revision", revision).Info("follower: the store's history is gone; reading it anew")
-			listed = false
-			continue
 		case i.ctx.Err() != nil:
 			return nil
+		case err == nil:
+			i.take(picture)
+			err = i.outOfDate(picture)
 		}
-		if !lost {
-			log.WithError(err).WithField("revision", revision).Warn("follower: the store does not answer")
+		i.noteSource(sources, source.Name, err)
+		if err == nil && source.Name == feed.Store && len(picture.Events) > 0 && !picture.Whole {
+			sleep(i.ctx, rest)
 		}
-		lost = true
-		sleep(i.ctx, pause)
-		pause = min(2*pause, maxStorePause)
 	}
 	return nil
 }
 
-func (i *Instance) listOnce() (int64, error) {
+// peersAlive returns the instances whose lease holds, by name and for ranking.
+func (i *Instance) peersAlive() (map[string]lead.Instance, []ownership.Instance) {
+	alive := i.view.Load().Alive()
+	peers := make(map[string]lead.Instance, len(alive))
+	candidates := make([]ownership.Instance, 0, len(alive))
+	for _, peer := range alive {
+		peers[peer.Name] = peer
+		candidates = append(candidates, ownership.Instance{Name: peer.Name, DataCentre: peer.DataCentre})
+	}
+	return peers, candidates
+}
+
+// outOfDate returns an error for a picture whose sender has no news at the moment,
+// or that was confirmed too long ago.
+func (i *Instance) outOfDate(p feed.Picture) error {
+	if p.Doubtful {
+		return errDoubtful
+	}
+	if age := i.now() - p.Confirmed; age > i.settings.StoreSilence+followTime {
+		return fmt.Errorf("the store was last heard there %s ago", age.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// noteSource records what came of a question. The first failure of a source, and
+// its end, are logged.
+func (i *Instance) noteSource(sources *feed.Sources, name string, err error) {
+	i.mirror.NoteSource(i.now(), err == nil)
+	log := i.part("follower").WithField("source", sourceName(name)).WithField("revision", i.mirror.Revision())
+	if err == nil {
+		if sources.Answered(name) {
+			log.Info("follower: a source of news answers again")
+		}
+		return
+	}
+	if sources.Failed(i.now(), name) {
+		log.WithError(err).Warn("follower: a source of news does not tell how the store stands now")
+	}
+}
+
+func sourceName(name string) string {
+	if name == feed.Store {
+		return "store"
+	}
+	return name
+}
+
+// askSource asks the store, or the instance at an address, for what is new.
+func (i *Instance) askSource(name, address string, rest *time.Duration) (feed.Picture, error) {
+	if name != feed.Store {
+		return i.askPeer(address)
+	}
+	after := i.mirror.Revision()
+	if after > 0 {
+		picture, err := i.watchOnce(after, rest)
+		if !errors.Is(err, kv.ErrCompacted) {
+			return picture, err
+		}
+		i.part("follower").WithField("revision", after).Info("follower: the store's history is gone; reading it anew")
+	}
+	return i.listOnce()
+}
+
+func (i *Instance) askPeer(address string) (feed.Picture, error) {
+	conn, err := i.conns.Get(address)
+	if err != nil {
+		return feed.Picture{}, err
+	}
+	ctx, cancel := context.WithTimeout(i.ctx, followTime+followSlack)
+	defer cancel()
+	return feed.Ask(ctx, feedpb.NewFeedClient(conn), i.mirror.Revision(), followTime, i.now())
+}
+
+func (i *Instance) listOnce() (feed.Picture, error) {
 	ctx, cancel := context.WithTimeout(i.ctx, storeTimeout)
 	defer cancel()
 	sent := i.now()
 	items, revision, err := i.platform.Store.List(ctx, "")
 	if err != nil {
-		return 0, err
+		return feed.Picture{}, err
 	}
-	i.take(change{whole: true, items: items, sent: sent})
-	return revision, nil
+	picture := feed.Picture{Whole: true, Revision: revision, Confirmed: sent}
+	for _, item := range items {
+		picture.Events = append(picture.Events, kv.Event{Item: item})
+	}
+	return picture, nil
 }
 
 // watchTime returns how long the store may hold a watch when its silence must be
@@ -102,11 +163,11 @@
 // one that waits is told neither of changes nor of that. So each must end in time.
 func watchTime(silence time.Duration) time.Duration { return silence - watchSlack - watchMargin }
 
-// watchOnce waits for changes after a revision. pause is how long it rests after
-// such, and is kept by the caller from one watch to the next.
-func (i *Instance) watchOnce(after int64, afterFailure bool, pause *time.Duration) (int64, error) {
+// watchOnce waits for changes after a revision. rest is for how long the follower
+// rests after such, and is kept from one watch to the next.
+func (i *Instance) watchOnce(after int64, rest *time.Duration) (feed.Picture, error) {
 	wait := watchTime(i.settings.StoreSilence)
-	if afterFailure {
+	if i.watchFailed {
 		wait = time.Millisecond // an answer soon confirms the grants
 	}
 	ctx, cancel := context.WithTimeout(i.ctx, wait+watchSlack)
@@ -114,23 +175,23 @@
 	i.stopWatch.Store(&cancel)
 	sent := i.now()
 	events, revision, err := i.platform.Store.Watch(ctx, "", after, wait)
+	i.watchFailed = err != nil
 	if err != nil {
-		return after, err
+		return feed.Picture{}, err
 	}
-	i.take(change{events: events, sent: sent})
 	if len(events) > 0 {
-		*pause = min(2**pause, maxWatchPause)
-		if i.now()-sent > quickSuccession {
-			*pause = minWatchPause
-		}
-		sleep(i.ctx, *pause)
+		*rest = min(2**rest, maxWatchPause)
 	}
-	return revision, nil
+	if i.now()-sent > quickSuccession {
+		*rest = minWatchPause
+	}
+	return feed.Picture{Events: events, Revision: revision, Confirmed: sent}, nil
 }
 
-// take has the control goroutine take a change in.
-func (i *Instance) take(c change) {
-	c.taken = make(chan struct{})
+// take notes a picture for those that follow this instance, and has the control
+// goroutine put in force what is new in it.
+func (i *Instance) take(p feed.Picture) {
+	c := change{Picture: i.mirror.Take(p), taken: make(chan struct{})}
 	select {
 	case i.changes <- c:
 		select {
@@ -149,189 +210,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// control holds the control state: it takes in what the follower learned,
-// publishes snapshots, and looks at what is due.
-func (i *Instance) control() error {
-	state := topology.New(memberGrace)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	report := time.NewTicker(reportInterval)
-	defer report.Stop()
-	for {
-		select {
-		case c := <-i.changes:
-			i.takeIn(state, c)
-			close(c.taken)
-		case <-ticker.C:
-			if state.Expire(i.now()) {
-				i.publish(state)
-			}
-			i.upstreams.Shrink()
-		case <-report.C:
-			i.upstreams.Report(i.part("relay"))
-		case <-i.ctx.Done():
-			return nil
-		}
-		i.relay.Gates(func(_ string, g *lead.Gate) { g.Enforce(enforceDrain) })
-		if !i.stopping.Load() {
-			i.controller.Tick(i.ctx)
-			i.attest()
-		}
-	}
-}
-
-// Settings of the questions to the other instances.
-const (
-	// attestAfter is for how long the store must not have confirmed the grants: more
-	// than two watches (6 to 8 s on the sheets), of the 15 s for which grants last.
-	attestAfter = 11 * time.Second
-	// attestEvery is the pause between two rounds: there is time for three before a
-	// grant lapses.
-	attestEvery = time.Second
-)
-
-// attest has the other instances stand in for the store while it is silent.
-func (i *Instance) attest() {
-	now := i.now()
-	heard, asked := time.Duration(i.heardAt.Load()), time.Duration(i.askedAt.Load())
-	if !i.registeredOnce.Load() || now-heard < attestAfter || now-asked < attestEvery || i.attesting.Swap(true) {
-		return
-	}
-	i.askedAt.Store(int64(now))
-	i.spawn(func() {
-		defer i.attesting.Store(false)
-		if sent, ok := i.controller.Attest(i.ctx); ok {
-			i.attestAt.Store(int64(sent))
-		}
-	})
-}
-
-// takeIn puts a change in force.
-func (i *Instance) takeIn(state *topology.State, c change) {
-	view, err := i.applyView(c)
-	if err != nil {
-		i.part("control").WithError(err).Error("control: an entry of our own could not be read and is left out")
-	}
-	if i.applyTopology(state, c) {
-		i.publish(state)
-	}
-	if c.whole || len(c.events) > 0 {
-		i.view.Store(view)
-		for group := range i.topology.Load().Groups {
-			if record, revision := view.Record(group); revision > 0 {
-				i.relay.Gate(group).Learn(record, revision)
-			}
-		}
-		i.share(i.topology.Load())
-	}
-	if c.whole {
-		i.knownOnce.Do(func() { close(i.known) })
-	}
-	if view.IsAlive(i.self.Name, i.self.Incarnation) && !i.stopping.Load() {
-		i.registeredOnce.Store(true)
-		i.heardAt.Store(int64(c.sent))
-		i.relay.Gates(func(_ string, g *lead.Gate) { g.Confirm(c.sent) })
-	}
-}
-
-func (i *Instance) applyView(c change) (*lead.View, error) {
-	if c.whole {
-		return i.view.Load().Replace(i.now(), c.items)
-	}
-	if len(c.events) == 0 {
-		return i.view.Load(), nil
-	}
-	return i.view.Load().Apply(i.now(), c.events)
-}
-
-// applyTopology takes in configuration and members, and reports whether anything
-// changed.
-func (i *Instance) applyTopology(state *topology.State, c change) bool {
-	changed := false
-	if c.whole {
-		present := make(map[string]bool)
-		for _, item := range c.items {
-			changed = i.applyKey(state, kv.Event{Item: item}) || changed
-			if id, ok := i.platform.Decoder.MemberID(item.Key); ok {
-				present[id] = true
-			}
-		}
-		state.KeepMembers(i.now(), present)
-		return changed
-	}
-	for _, e := range c.events {
-		changed = i.applyKey(state, e) || changed
-	}
-	return changed
-}
-
-func (i *Instance) applyKey(state *topology.State, e kv.Event) bool {
-	log := i.part("control").WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision})
-	decoder := i.platform.Decoder
-	if decoder.IsConfig(e.Key) && !e.Deleted {
-		config, err := decoder.Config(e.Value)
-		if err != nil {
-			log.WithError(err).Error("control: the configuration cannot be read; the one before stays in force")
-			return false
-		}
-		if !state.SetConfig(config) {
-			return false
-		}
-		log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("control: a configuration is in force")
-		return true
-	}
-	id, ok := decoder.MemberID(e.Key)
-	if !ok {
-		return false
-	}
-	if e.Deleted {
-		log.WithField("member", id).Info("control: a member's entry has vanished")
-		state.DropMember(i.now(), id)
-		return false
-	}
-	m, err := decoder.Member(id, e.Value)
-	if err != nil {
-		log.WithError(err).Error("control: a member's entry cannot be read and is left out")
-		return false
-	}
-	if state.SetMember(m) {
-		log.WithFields(logrus.Fields{"member": id, "group": m.Group, "draining": m.Draining, "claims_primary": m.Primary}).
-			Info("control: a member's entry has changed")
-		return true
-	}
-	return false
-}
-
-// publish makes the picture known to the traffic.
-func (i *Instance) publish(state *topology.State) {
-	snap := state.Snapshot()
-	i.topology.Store(snap)
-	i.share(snap)
-}
-
-// share decides which instances hold connections to which groups, and how many.
-func (i *Instance) share(snap *topology.Snapshot) {
-	view := i.view.Load()
-	registered := len(view.Registered(i.now()))
-	i.upstreams.Update(snap, registered)
-	i.relay.SetCarriers(relay.Place(snap, i.self, view.Alive(), registered))
-}
-
-// surroundings gives the controller its picture of the instance.
-type surroundings struct{ i *Instance }
-
-func (s surroundings) Topology() *topology.Snapshot { return s.i.topology.Load() }
-func (s surroundings) View() *lead.View             { return s.i.view.Load() }
-func (s surroundings) Gate(group string) *lead.Gate { return s.i.relay.Gate(group) }
-
-func (s surroundings) Lease() kv.LeaseID {
-	if !s.i.view.Load().IsAlive(s.i.self.Name, s.i.self.Incarnation) {
-		return 0
-	}
-	return kv.LeaseID(s.i.lease.Load())
-}
-
-func (s surroundings) Heard(id string) (time.Duration, bool) { return s.i.upstreams.Heard(id) }
-func (s surroundings) Doubtful(id string) bool               { return s.i.upstreams.Doubtful(id) }
-func (s surroundings) NoteAnswer(id string)                  { s.i.upstreams.NoteAnswer(id) }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -20,6 +20,8 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"github.com/stackspindle/stackspindle/internal/feed"
+	"github.com/stackspindle/stackspindle/internal/feed/feedpb"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
@@ -92,10 +94,11 @@
 	attesting      atomic.Bool  // a round of questions to the other instances runs
 	askedAt        atomic.Int64 // when the last round was begun
 	attestAt       atomic.Int64 // when the last round that a quorum answered was begun
-	heardAt        atomic.Int64 // when the last store call was sent that confirmed the grants
+	heardAt        atomic.Int64 // when the last store call was sent, by whomever, that confirmed the grants
 	registeredOnce atomic.Bool
 	stopping       atomic.Bool
 
+	mirror     *feed.Mirror  // what is known of the store, for this instance and those that follow it
 	changes    chan change   // to the control goroutine
 	known      chan struct{} // closed once the store was read
 	knownOnce  sync.Once
@@ -114,6 +117,8 @@
 	doubted   atomic.Bool                        // a renewal of the lease got no answer since the last that did
 	stopWatch atomic.Pointer[context.CancelFunc] // ends the watch under way
 
+	watchFailed bool // the last watch got no answer; of the follower
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -132,6 +137,7 @@
 		started: time.Now(),
 		set:     metrics.NewSet(),
 		ring:    timeline.NewRing(settings.Name, timeline.NewClock(time.Now), eventsKept),
+		mirror:  feed.NewMirror(),
 		changes: make(chan change),
 		known:   make(chan struct{}),
 		conns:   peerconn.New(),
@@ -155,6 +161,7 @@
 	leadpb.RegisterCoordinationServer(i.peers, server)
 	i.carrier = relay.NewCarrierServer(i.relay)
 	relaypb.RegisterCarrierServer(i.peers, i.carrier)
+	feedpb.RegisterFeedServer(i.peers, feed.NewServer(i.mirror, i.now))
 	return i, nil
 }
 
--- a/internal/fleet/register.go
+++ b/internal/fleet/register.go
@@ -15,8 +15,10 @@
 	// renewalsPerTTL is how often a lease is renewed within its time, so that one
 	// lost renewal does not end it.
 	renewalsPerTTL = 3
-	// registerPause is the pause after a registration that did not succeed.
-	registerPause = 150 * time.Millisecond
+	// registerPause is the pause after a call that did not succeed; it doubles with
+	// each further one up to maxRegisterPause. Each call is charged, refused ones too.
+	registerPause    = 150 * time.Millisecond
+	maxRegisterPause = 1200 * time.Millisecond
 )
 
 // keepRegistered keeps the instance's entry in the store, on a lease.
@@ -25,16 +27,24 @@
 	case <-i.known: // without a picture of the store nothing can be conditional
 	case <-i.ctx.Done():
 	}
+	retry := registerPause
 	for i.ctx.Err() == nil {
-		sleep(i.ctx, i.registrationStep())
+		pause, ok := i.registrationStep()
+		if ok {
+			retry = registerPause
+		} else {
+			pause, retry = retry, min(2*retry, maxRegisterPause)
+		}
+		sleep(i.ctx, pause)
 	}
 	return nil
 }
 
-// registrationStep does what is due and returns when to come back.
-func (i *Instance) registrationStep() time.Duration {
+// registrationStep does what is due and returns when to come back, or false when a
+// call did not succeed.
+func (i *Instance) registrationStep() (time.Duration, bool) {
 	if i.stopping.Load() {
-		return registerPause
+		return registerPause, true
 	}
 	log := i.part("registration")
 	view := i.view.Load()
@@ -42,10 +52,10 @@
 	if id == 0 || !view.IsAlive(i.self.Name, i.self.Incarnation) {
 		if err := i.register(view); err != nil {
 			log.WithError(err).Info("registration: did not succeed, or its answer was lost")
-			return registerPause
+			return 0, false
 		}
 		log.Info("registration: the instance is registered")
-		return i.settings.LeaseTTL / renewalsPerTTL
+		return i.settings.LeaseTTL / renewalsPerTTL, true
 	}
 	ctx, cancel := context.WithTimeout(i.ctx, i.settings.LeaseTTL/renewalsPerTTL)
 	defer cancel()
@@ -55,15 +65,15 @@
 		i.storeAnswers()
 		log.Warn("registration: the lease is over; registering anew")
 		i.lease.CompareAndSwap(int64(id), 0)
-		return 0
+		return 0, true
 	case err != nil:
 		i.doubted.Store(true)
 		log.WithError(err).Info("registration: the lease was not renewed")
-		return registerPause
+		return 0, false
 	}
 	i.storeAnswers()
 	i.forget(view)
-	return max(registerPause, i.settings.LeaseTTL/renewalsPerTTL-(i.now()-started))
+	return max(registerPause, i.settings.LeaseTTL/renewalsPerTTL-(i.now()-started)), true
 }
 
 // storeAnswers begins the watch anew when the store answers after it did not: the
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -26,6 +26,7 @@
 	events    []kv.Event
 	leases    map[kv.LeaseID]bool
 	nextLease kv.LeaseID
+	watching  int // watches that wait
 	changed   chan struct{}
 }
 
@@ -52,6 +53,19 @@
 	s.wake()
 }
 
+// Watching returns how many watches wait for a change.
+func (s *Store) Watching() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watching
+}
+
+func (s *Store) addWatching(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watching += n
+}
+
 // Forget drops the history.
 func (s *Store) Forget() {
 	s.mu.Lock()
@@ -167,6 +181,8 @@
 func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	c.store.addWatching(1)
+	defer c.store.addWatching(-1)
 	for {
 		if err := c.refused(); err != nil {
 			return nil, 0, err
