Feed: a source that failed waits until the others had their turn

Ruled out: the cut of the followers themselves (their own first call of the store came at 7.2 s and was not tried before).

Change: instances that failed are left alone for 2 s and more; a sender that gets no news says so at once, also to questions that wait; the bound on age is twice the silence; watches are 0.5 s shorter, which leaves room for the way to followers.

Tests: TestNoSourceIsAskedAgainBeforeTheOthers, TestFollowerIsToldOfDoubtAtOnce.

--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -46,8 +46,8 @@
 		if p.Revision == 0 {
 			return nil, errUninformed
 		}
-		if p.Revision > req.After || over {
-			p.Doubtful = s.mirror.Doubtful(s.now())
+		p.Doubtful = s.mirror.Doubtful(s.now())
+		if p.Revision > req.After || p.Doubtful || over {
 			return encode(p, arrived), nil
 		}
 		select {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -214,7 +214,7 @@
 			s.Failed(0, i.Name)
 		}
 	}
-	must.Eq(t, Choice{Name: s.Next(0, alive).Name, Rest: minPause}, s.Next(0, alive), must.Sprint("none is left: the first that may be asked again"))
+	must.Eq(t, Choice{Name: Store, Rest: minStorePause}, s.Next(0, alive), must.Sprint("none is left: the first that may be asked again"))
 	must.True(t, s.Answered(near[1]))
 	must.False(t, s.Answered(near[1]))
 	must.Eq(t, Choice{Name: near[1]}, s.Next(0, alive))
@@ -227,10 +227,51 @@
 	must.Eq(t, Store, s.Next(0, alive).Name)
 	s.Failed(0, Store)
 	must.Eq(t, watchers[1], s.Next(0, alive).Name, must.Sprint("turned away, it follows others"))
-	must.Eq(t, Store, s.Next(minPause, alive).Name)
+	must.Eq(t, Store, s.Next(minStorePause, alive).Name)
 }
 
 func TestFirstInstanceAsksTheStore(t *testing.T) {
 	s := NewSources(ownership.Instance{Name: "x", DataCentre: "a"})
 	must.Eq(t, Store, s.Next(0, nil).Name)
 }
+
+// On scale-1 of swancoast-dispatch-grown both watchers of a data centre were cut off
+// from the store, and their followers, which were not, kept asking the two in turn.
+// Between two questions to any one source all that are preferred to the last resort
+// have their turn, however long a question takes.
+func TestNoSourceIsAskedAgainBeforeTheOthers(t *testing.T) {
+	const question = 900 * time.Millisecond
+	alive := append(instances("a", 6), instances("b", 6)...)
+	near := Watchers(alive, "a")
+	var self ownership.Instance
+	for _, i := range alive[:6] {
+		if i.Name != near[0] && i.Name != near[1] {
+			self = i
+		}
+	}
+	s := NewSources(self)
+	now := time.Duration(0)
+	for range 2 {
+		name := s.Next(now, alive).Name
+		must.SliceContains(t, near, name)
+		now += question
+		s.Failed(now, name)
+	}
+	must.Eq(t, Choice{Name: Store}, s.Next(now, alive))
+}
+
+// An instance that gets no news tells those that wait for some at once.
+func TestFollowerIsToldOfDoubtAtOnce(t *testing.T) {
+	mirror := NewMirror()
+	mirror.Take(Picture{Whole: true, Revision: 1})
+	server := NewServer(mirror, func() time.Duration { return time.Hour })
+	answered := make(chan Picture)
+	go func() {
+		p, err := Ask(context.Background(), client{server}, 1, maxWait, 0)
+		if err == nil {
+			answered <- p
+		}
+	}()
+	mirror.NoteSource(time.Hour, false)
+	must.True(t, (<-answered).Doubtful)
+}
--- a/internal/feed/mirror.go
+++ b/internal/feed/mirror.go
@@ -47,7 +47,7 @@
 	revision  int64            // 0: nothing is known yet
 	horizon   int64            // removals up to this revision are forgotten
 	confirmed time.Duration
-	changed   chan struct{} // closed, and replaced, with each new revision
+	changed   chan struct{} // closed, and replaced, with each new revision or failed question
 	failed    bool          // the last question to a source failed
 	heardAt   time.Duration // when a source last brought what is known now
 }
@@ -85,20 +85,28 @@
 	m.forget()
 	if p.Revision > m.revision {
 		m.revision = p.Revision
-		close(m.changed)
-		m.changed = make(chan struct{})
+		m.wake()
 	}
 	return news
 }
 
-// NoteSource records whether the last question to a source brought what is known now.
+// NoteSource records whether the last question to a source brought what is known
+// now. Those that follow are told at once when it did not.
 func (m *Mirror) NoteSource(now time.Duration, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.failed = !ok
 	if ok {
 		m.heardAt = now
+		return
 	}
+	m.wake()
+}
+
+// wake has those that wait for a change look again. The caller holds mu.
+func (m *Mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // Doubtful reports whether this instance gets no news at the moment.
@@ -150,7 +158,7 @@
 }
 
 // Since returns what has changed after a revision, with a channel that is closed
-// at the next change. Who knows nothing, or too little, gets everything.
+// when there may be more to tell. Who knows nothing, or too little, gets everything.
 func (m *Mirror) Since(after int64) (Picture, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/feed/sources.go
+++ b/internal/feed/sources.go
@@ -16,13 +16,14 @@
 	// instancesPerWatcher adds watchers in large data centres: at 92 instances (550
 	// in 6) each answers 25 questions a second.
 	instancesPerWatcher = 16
-	// minPause is for how long a source that failed is left alone; it doubles with
-	// each failure. Each call of the store is charged, refused ones too, and it must
-	// be heard again soon after it was away. An instance that is silent costs 0.9 s,
-	// within which the store is not asked.
-	minPause      = 50 * time.Millisecond
+	// For how long a source that failed is left alone; it doubles with each failure.
+	// Each call of the store is charged, refused ones too, and it must be heard again
+	// soon after it was away. An instance that is silent costs 0.9 s, within which no
+	// other is asked, so the others and the store must have their turn before it.
+	minStorePause = 50 * time.Millisecond
 	maxStorePause = 800 * time.Millisecond
-	maxPeerPause  = 5 * time.Second
+	minPeerPause  = 2 * time.Second
+	maxPeerPause  = 8 * time.Second
 	// watchKey ranks the instances for watching the store.
 	watchKey = "store watch"
 )
@@ -140,11 +141,11 @@
 // reports whether that is new.
 func (s *Sources) Failed(now time.Duration, name string) bool {
 	last, again := s.pauses[name]
-	longest := maxPeerPause
+	shortest, longest := minPeerPause, maxPeerPause
 	if name == Store {
-		longest = maxStorePause
+		shortest, longest = minStorePause, maxStorePause
 	}
-	pause := min(max(minPause, 2*last), longest)
+	pause := min(max(shortest, 2*last), longest)
 	s.pauses[name], s.retryAt[name] = pause, now+pause
 	return !again
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -17,8 +17,8 @@
 const (
 	// watchSlack covers the way of a watch and a slow store (0.3 s on the sheets).
 	watchSlack = 700 * time.Millisecond
-	// watchMargin is kept for reading the store anew.
-	watchMargin = 300 * time.Millisecond
+	// watchMargin is kept for reading the store anew and telling those that follow.
+	watchMargin = 800 * time.Millisecond
 	// minWatchPause and maxWatchPause bound the pause after changes came. It doubles
 	// while they come in quick succession, as at a start, so that one call reads
 	// many of them; a configuration must be in force within 3 s.
@@ -88,7 +88,9 @@
 	if p.Doubtful {
 		return errDoubtful
 	}
-	if age := i.now() - p.Confirmed; age > i.settings.StoreSilence+followTime {
+	// A watcher's news are of the sending of its last watch that ended, while the
+	// next one waits.
+	if age := i.now() - p.Confirmed; age > 2*i.settings.StoreSilence+followTime {
 		return fmt.Errorf("the store was last heard there %s ago", age.Round(time.Millisecond))
 	}
 	return nil
