Carriers: one that does not answer is pinged, given up and passed over

And a connection between instances that goes silent for good was kept for ever: gRPC looks after it every 10 s at best. Ruled out: members' slots (the refusals came with no member offered).

Change: while an answer is awaited for 0.1 s and the carrier says nothing else, it is pinged (0.25 s); without an answer its streams are given up and others come first. An established connection on which a call got no answer in time is replaced by a new one.

--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -3,13 +3,17 @@
 package peerconn
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 )
 
 // Settings of the connections.
@@ -17,6 +21,9 @@
 	connectBackoff = 50 * time.Millisecond  // an instance that restarts is asked again soon
 	maxBackoff     = 500 * time.Millisecond // of one that stays away
 	connectTimeout = 500 * time.Millisecond // links have delays of milliseconds
+	// linger is for how long a connection that was given up serves what is under way
+	// on it: longer than a statement may take (0.8 to 2 s on the sheets).
+	linger = 5 * time.Second
 )
 
 // Conns holds the connections. It is safe for concurrent use.
@@ -41,6 +48,7 @@
 			Backoff:           backoff.Config{BaseDelay: connectBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff},
 			MinConnectTimeout: connectTimeout,
 		}),
+		grpc.WithUnaryInterceptor(c.renewSilent(address)),
 	)
 	if err != nil {
 		return nil, fmt.Errorf("instance at %s: %w", address, err)
@@ -49,6 +57,30 @@
 	return conn, nil
 }
 
+// renewSilent gives a connection up on which a call got no answer in time, although
+// it is established: it may have gone silent without a reset, while new ones work.
+// The next use opens another.
+func (c *Conns) renewSilent(address string) grpc.UnaryClientInterceptor {
+	return func(ctx context.Context, method string, req, reply any, conn *grpc.ClientConn, invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+		err := invoker(ctx, method, req, reply, conn, opts...)
+		if status.Code(err) == codes.DeadlineExceeded && conn.GetState() == connectivity.Ready {
+			c.giveUp(address, conn)
+		}
+		return err
+	}
+}
+
+// giveUp forgets a connection and closes it once what is under way has had its time.
+func (c *Conns) giveUp(address string, conn *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] != conn {
+		return
+	}
+	delete(c.conns, address)
+	time.AfterFunc(linger, func() { _ = conn.Close() }) // nothing that matters is under way by then
+}
+
 // Close ends all connections.
 func (c *Conns) Close() {
 	c.mu.Lock()
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -27,6 +28,11 @@
 // Stop takes no further transaction up. Those that are open go on.
 func (c *CarrierServer) Stop() { c.once.Do(func() { close(c.stopping) }) }
 
+// Ping implements relaypb.CarrierServer.
+func (c *CarrierServer) Ping(context.Context, *relaypb.PingRequest) (*relaypb.PingReply, error) {
+	return &relaypb.PingReply{}, nil
+}
+
 // Carry implements relaypb.CarrierServer.
 func (c *CarrierServer) Carry(stream grpc.BidiStreamingServer[relaypb.CarryRequest, relaypb.CarryReply]) error {
 	var s *session
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -1,17 +1,11 @@
 package relay
 
 import (
-	"context"
 	"errors"
-	"fmt"
-	"sync"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
-	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -24,88 +18,8 @@
 	// carryMargin is how much longer than the statement's own deadline an answer is
 	// awaited: the way back, and a carrier that gives up at the last moment.
 	carryMargin = 60 * time.Millisecond
-	// idleStreams bounds the streams to one carrier that are kept for the next use.
-	idleStreams = 64
 )
 
-// errNotTaken says that a carrier has not taken a statement up.
-var errNotTaken = errors.New("the carrier has not taken the statement up")
-
-// carrierConns holds the streams to carriers. It is safe for concurrent use.
-type carrierConns struct {
-	conns *peerconn.Conns
-
-	mu   sync.Mutex // guards idle
-	idle map[string][]*carrierStream
-}
-
-// carrierStream carries the transactions of one caller at a time.
-type carrierStream struct {
-	owner   *carrierConns
-	address string
-	run     grpc.BidiStreamingClient[relaypb.CarryRequest, relaypb.CarryReply]
-	cancel  context.CancelFunc
-}
-
-func newCarrierConns(conns *peerconn.Conns) *carrierConns {
-	return &carrierConns{conns: conns, idle: make(map[string][]*carrierStream)}
-}
-
-// open returns an idle stream to a carrier, or a new one.
-func (c *carrierConns) open(address string) (*carrierStream, error) {
-	c.mu.Lock()
-	if idle := c.idle[address]; len(idle) > 0 {
-		s := idle[len(idle)-1]
-		c.idle[address] = idle[:len(idle)-1]
-		c.mu.Unlock()
-		return s, nil
-	}
-	c.mu.Unlock()
-	conn, err := c.conns.Get(address)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	run, err := relaypb.NewCarrierClient(conn).Carry(ctx)
-	if err != nil {
-		cancel()
-		return nil, fmt.Errorf("carrier at %s: %w", address, err)
-	}
-	return &carrierStream{owner: c, address: address, run: run, cancel: cancel}, nil
-}
-
-// release keeps the stream for the next transaction.
-func (s *carrierStream) release() {
-	s.owner.mu.Lock()
-	defer s.owner.mu.Unlock()
-	if len(s.owner.idle[s.address]) >= idleStreams {
-		s.cancel()
-		return
-	}
-	s.owner.idle[s.address] = append(s.owner.idle[s.address], s)
-}
-
-// ask sends a request and returns the reply. An error that wraps errNotTaken means
-// that nothing of it was run; after any error the stream is gone.
-func (s *carrierStream) ask(req *relaypb.CarryRequest, timeout time.Duration) (*relaypb.CarryReply, error) {
-	timer := time.AfterFunc(timeout, s.cancel)
-	defer timer.Stop()
-	if err := s.run.Send(req); err != nil {
-		s.cancel()
-		return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotTaken, err)
-	}
-	reply, err := s.run.Recv()
-	switch {
-	case err != nil:
-		s.cancel()
-		return nil, fmt.Errorf("carrier at %s: %w", s.address, err)
-	case reply.Stopping:
-		s.cancel()
-		return nil, fmt.Errorf("carrier at %s: %w: it stops", s.address, errNotTaken)
-	}
-	return reply, nil
-}
-
 // remoteTransaction is an open transaction at a carrier.
 type remoteTransaction struct {
 	stream *carrierStream
@@ -116,12 +30,12 @@
 // carry has a first statement run by a carrier.
 func (s *session) carry(st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
 	why := "no carrier could be asked"
-	for _, carrier := range carriers[:min(carriersTried, len(carriers))] {
+	for _, carrier := range s.relay.carrierConns.order(carriers, carriersTried) {
 		left := arrived + route.Timeout - s.relay.now()
 		if left <= 0 {
 			break
 		}
-		stream, err := s.relay.carrierConns.open(carrier.Address)
+		stream, err := s.relay.carrierConns.open(carrier.Address, left)
 		if err != nil {
 			why = err.Error()
 			continue
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,8 +37,9 @@
 func New(started time.Time, dataCentre string, topology func() *topology.Snapshot, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
 	r := &Relay{
 		started: started, near: dataCentre, topology: topology, upstreams: upstreams, log: log, set: set,
-		gates: make(map[string]*lead.Gate), carrierConns: newCarrierConns(conns),
+		gates: make(map[string]*lead.Gate),
 	}
+	r.carrierConns = newCarrierConns(conns, r.now)
 	r.limiter = logs.NewLimiter(r.now)
 	return r
 }
