Change of primary: the store is asked who is registered

Cause, found by reading: the leader asked those instances to release that its own picture of the store showed. An instance that had registered a moment before could hold a grant without being asked, and use the old primary beside the new one; since the pictures of most instances now come through others this had become likelier (up to 1.8 s). Ruled out: waiting for the own picture, which would delay each failover by as much.

Change: the known ones are asked at once, and meanwhile a listing of the instances, made after the change was in the store, tells who else has registered (one call a change). Whoever registers later sees the announced change first.

Tests: TestInstanceThatRegisteredAMomentAgoReleases (fails before), TestReleaseNeedsTheStore.

--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
 
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
@@ -143,6 +145,38 @@
 	}
 }
 
+// An instance has registered, and may hold a grant, although the leader's picture of
+// the store does not show it yet. It must be asked to release.
+func TestInstanceThatRegisteredAMomentAgoReleases(t *testing.T) {
+	store := memstore.New()
+	leader, around := newController(t, "a", store.Client())
+	stale := around.view
+	other, aroundOther := newController(t, "b", store.Client())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := grpc.NewServer()
+	leadpb.RegisterCoordinationServer(server, other.own)
+	go func() { _ = server.Serve(l) }() // ends with the test
+	t.Cleanup(server.Stop)
+	other.self.Address = l.Addr().String()
+	revision, err := store.Client().Commit(t.Context(), aroundOther.view.Registration(other.self, aroundOther.lease))
+	must.NoError(t, err)
+	around.view = stale
+
+	must.NoError(t, leader.releaseAll(t.Context(), "g", revision, urgentDrain, 0))
+	news, _ := aroundOther.gate.NewsSince(0)
+	must.Eq(t, revision, news.Released)
+}
+
+// Without the store's word on who is registered a change does not go on.
+func TestReleaseNeedsTheStore(t *testing.T) {
+	store := memstore.New()
+	client := store.Client()
+	leader, _ := newController(t, "a", client)
+	client.Set(memstore.Faults{Refuse: true})
+	must.Error(t, leader.releaseAll(t.Context(), "g", 7, urgentDrain, 0))
+}
+
 func TestReleaseOfInstancesThatCannotBeReached(t *testing.T) {
 	const announced = 100 * time.Second
 	reply := func(uptime time.Duration, attested ...string) *leadpb.ReleaseReply {
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -94,12 +97,75 @@
 }
 
 // releaseAll returns once every registered instance has released its grant, or
-// the grant of each that did not has lapsed.
+// the grant of each that did not has lapsed. Those that this instance knows of are
+// asked at once, and meanwhile the store who else has registered.
 func (c *Controller) releaseAll(ctx context.Context, group string, revision int64, drain time.Duration, announced time.Duration) error {
-	registered := c.around.View().Registered(c.now())
-	r := &release{group: group, revision: revision, drain: drain, announced: announced, missing: Quorum(len(registered))}
-	forEach(registered, func(instance Instance) { c.releaseOne(ctx, r, instance) })
-	return ctx.Err()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	known := c.around.View().Entries(c.now())
+	r := &release{group: group, revision: revision, drain: drain, announced: announced, missing: Quorum(len(known))}
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		c.releaseEach(ctx, r, known)
+	}()
+	later, err := c.registeredLater(ctx, revision, known)
+	if err == nil {
+		r.expect(len(known), len(later))
+		c.releaseEach(ctx, r, later)
+	} else {
+		cancel()
+	}
+	<-released
+	return errors.Join(err, ctx.Err())
+}
+
+func (c *Controller) releaseEach(ctx context.Context, r *release, entries []Entry) {
+	var wg sync.WaitGroup
+	for _, entry := range entries {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.releaseOne(ctx, r, entry)
+		}()
+	}
+	wg.Wait()
+}
+
+// registeredLater returns the instances, beyond those known, that were registered
+// when the record with a revision was in the store. The picture that this instance
+// follows may be older. Who registers after that sees that record first.
+func (c *Controller) registeredLater(ctx context.Context, revision int64, known []Entry) ([]Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	items, at, err := c.store.List(ctx, prefixInstance)
+	if err != nil {
+		return nil, fmt.Errorf("who is registered: %w", err)
+	}
+	if at < revision {
+		return nil, fmt.Errorf("who is registered: the store told of revision %d, before %d", at, revision)
+	}
+	return notAmong(known, items)
+}
+
+// notAmong returns the entries of instances that are not known, or of other
+// processes than those known.
+func notAmong(known []Entry, items []kv.Item) ([]Entry, error) {
+	processes := make(map[string]bool, len(known))
+	for _, e := range known {
+		processes[e.Incarnation] = true
+	}
+	var others []Entry
+	for _, item := range items {
+		instance, err := decode[Instance](item.Value)
+		if err != nil {
+			return nil, fmt.Errorf("key %s: %w", item.Key, err)
+		}
+		if !processes[instance.Incarnation] {
+			others = append(others, Entry{Instance: instance, revision: item.Revision})
+		}
+	}
+	return others, nil
 }
 
 // release is the end of all grants of a record. Times are of the leader's clock.
@@ -151,7 +217,14 @@
 	return now-confirmed >= grantsLapsed
 }
 
-func (c *Controller) releaseOne(ctx context.Context, r *release, instance Instance) {
+// expect raises the quorum by instances that were found to be registered too.
+func (r *release) expect(known, more int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.missing += Quorum(known+more) - Quorum(known)
+}
+
+func (c *Controller) releaseOne(ctx context.Context, r *release, instance Entry) {
 	if instance.Name == c.self.Name {
 		if reply, err := c.own.Release(ctx, r.request()); err == nil {
 			r.note(c.now(), reply)
@@ -159,11 +232,14 @@
 		return
 	}
 	for tries := 0; ctx.Err() == nil; tries++ {
-		goneSince, _ := c.around.View().MissingSince(instance.Name)
+		goneSince, gone := c.around.View().MissingSince(instance)
+		if !gone {
+			goneSince = 0 // its lease holds, as far as is known
+		}
 		if r.lapsed(c.now(), instance.Name, goneSince) {
 			return
 		}
-		reply, err := c.callRelease(ctx, r, instance)
+		reply, err := c.callRelease(ctx, r, instance.Instance)
 		if err == nil {
 			r.note(c.now(), reply)
 			return
@@ -183,14 +259,11 @@
 const releaseLogEvery = 20
 
 // stillRegistered reports whether the process may hold a grant: it does not once
-// another process has registered under its name, or its grants have lapsed.
-func (c *Controller) stillRegistered(instance Instance) bool {
-	for _, now := range c.around.View().Registered(c.now()) {
-		if now.Name == instance.Name {
-			return now.Incarnation == instance.Incarnation
-		}
-	}
-	return false
+// another process has registered under its name, or its grants have lapsed. A view
+// that is older than the entry does not tell.
+func (c *Controller) stillRegistered(entry Entry) bool {
+	now, registered := c.around.View().Entry(c.now(), entry.Name)
+	return now.revision < entry.revision || registered && now.Incarnation == entry.Incarnation
 }
 
 func (r *release) request() *leadpb.ReleaseRequest {
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -193,24 +193,50 @@
 	return alive
 }
 
-// Registered returns all instances that may hold grants. One that is not alive
-// is left out once its grants have lapsed: no answer of the store has confirmed
-// them since, and attestations stand in for the store only so long.
+// Entry is an instance's entry with its revision in the store.
+type Entry struct {
+	Instance
+	revision int64
+}
+
+// Entry returns the entry of an instance, and whether it may hold grants.
+func (v *View) Entry(now time.Duration, name string) (Entry, bool) {
+	h, known := v.instances[name]
+	return Entry{Instance: h.value, revision: h.revision}, known && !v.lapsed(now, name)
+}
+
+// Entries returns the entries of all instances that may hold grants.
+func (v *View) Entries(now time.Duration) []Entry {
+	var entries []Entry
+	for name := range v.instances {
+		if e, registered := v.Entry(now, name); registered {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// lapsed reports whether an instance has not been alive for so long that its grants
+// have lapsed: no answer of the store has confirmed them since, and attestations
+// stand in for the store only so long.
+func (v *View) lapsed(now time.Duration, name string) bool {
+	since, gone := v.missing[name]
+	return gone && now-since > storelessLapsed
+}
+
+// Registered returns all instances that may hold grants.
 func (v *View) Registered(now time.Duration) []Instance {
 	var registered []Instance
-	for name, h := range v.instances {
-		if since, gone := v.missing[name]; gone && now-since > storelessLapsed {
-			continue
-		}
-		registered = append(registered, h.value)
+	for _, e := range v.Entries(now) {
+		registered = append(registered, e.Instance)
 	}
 	return registered
 }
 
-// MissingSince returns since when a registered instance has not been alive.
-func (v *View) MissingSince(name string) (time.Duration, bool) {
-	since, missing := v.missing[name]
-	return since, missing
+// MissingSince returns since when the process of an entry has not been alive.
+func (v *View) MissingSince(e Entry) (time.Duration, bool) {
+	since, missing := v.missing[e.Name]
+	return since, missing && v.instances[e.Name].revision == e.revision
 }
 
 // Forgettable returns the instances that have been gone for so long that their
