Change of primary: one that leads in an earlier term does not lead

Select took it for a replica with a log, passed over all further replicas since the best so far "leads", and the change ended with it as the primary, without a promotion: writes were acknowledged that the newer term does not hold. Ruled out: a grant that outlasted its release (the record itself named the old one).

Change: leading in an earlier term counts as not leading. Such a member is a candidate like others and has to be promoted.

Test: three rows of TestSelect (two failed before).

--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -16,12 +16,15 @@
 // Select returns who should lead, given what the members said, or false while
 // that cannot be decided. One that leads in a newer term goes first: it was
 // promoted already. An old primary that leads still, and need not be replaced,
-// stays. Else the furthest log wins.
+// stays. Else the furthest log wins. One that leads in an earlier term, because it
+// has not heard of its successor, counts as a replica: it is returned as one that
+// does not lead, and must be promoted first.
 func Select(answers []found, s Selection) (found, bool) {
 	var best *found
 	replicas := 0
-	for i := range answers {
-		f := &answers[i]
+	for _, answer := range answers {
+		f := &answer
+		f.status.Primary = f.status.Primary && f.status.Term >= s.Term
 		if f.status.Primary && (f.status.Term > s.Term || f.member.ID == s.Old && !s.Planned && !f.member.Draining) {
 			if best == nil || !best.status.Primary || best.status.Term < f.status.Term {
 				best = f
--- a/internal/lead/select_test.go
+++ b/internal/lead/select_test.go
@@ -31,29 +31,39 @@
 	hurried.Hurry = true
 	synced := base
 	synced.SyncReplicas = 1
+	second := Selection{Old: "gone", Term: 2, Replicas: 2}
+	inSecond := func(id string, index uint64) found {
+		f := replica(id, index)
+		f.status.Term, f.status.Received.Term = 2, 2
+		return f
+	}
 	for name, c := range map[string]struct {
 		answers []found
 		s       Selection
 		want    string // "" for undecided
 	}{
-		"nobody answers":                         {nil, base, ""},
-		"the furthest log":                       {[]found{replica("a", 3), replica("b", 5)}, base, "b"},
-		"not one that drains":                    {[]found{replica("a", 3), draining(replica("b", 5))}, base, "a"},
-		"promoted already":                       {[]found{replica("a", 3), primary("b", 2)}, base, "b"},
-		"the newest of two that lead":            {[]found{primary("a", 2), primary("b", 3)}, base, "b"},
-		"the old primary is well":                {[]found{replica("a", 3), primary("old", 1)}, base, "old"},
-		"the old primary drains":                 {[]found{replica("a", 3), draining(primary("old", 1))}, base, "a"},
-		"the old primary leads, but must go":     {[]found{replica("a", 9), primary("old", 1)}, planned, "a"},
-		"its log is awaited":                     {[]found{replica("a", 8), replica("old", 9)}, planned, ""},
-		"its log was awaited for long enough":    {[]found{replica("a", 8)}, hurried, "a"},
-		"one that stepped down may lead again":   {[]found{replica("a", 8), replica("old", 9)}, base, "old"},
-		"a silent replica may hold acknowledged": {[]found{replica("a", 8)}, synced, ""},
-		"all replicas were asked":                {[]found{replica("a", 8), replica("b", 7)}, synced, "a"},
+		"nobody answers":                          {nil, base, ""},
+		"the furthest log":                        {[]found{replica("a", 3), replica("b", 5)}, base, "b"},
+		"not one that drains":                     {[]found{replica("a", 3), draining(replica("b", 5))}, base, "a"},
+		"promoted already":                        {[]found{replica("a", 3), primary("b", 2)}, base, "b"},
+		"the newest of two that lead":             {[]found{primary("a", 2), primary("b", 3)}, base, "b"},
+		"the old primary is well":                 {[]found{replica("a", 3), primary("old", 1)}, base, "old"},
+		"the old primary drains":                  {[]found{replica("a", 3), draining(primary("old", 1))}, base, "a"},
+		"the old primary leads, but must go":      {[]found{replica("a", 9), primary("old", 1)}, planned, "a"},
+		"its log is awaited":                      {[]found{replica("a", 8), replica("old", 9)}, planned, ""},
+		"its log was awaited for long enough":     {[]found{replica("a", 8)}, hurried, "a"},
+		"one that stepped down may lead again":    {[]found{replica("a", 8), replica("old", 9)}, base, "old"},
+		"one that still leads in an earlier term": {[]found{primary("stale", 1), inSecond("a", 3)}, second, "a"},
+		"the same, whoever answers first":         {[]found{inSecond("a", 3), primary("stale", 1)}, second, "a"},
+		"the same, with nobody else":              {[]found{primary("stale", 1)}, second, "stale"},
+		"a silent replica may hold acknowledged":  {[]found{replica("a", 8)}, synced, ""},
+		"all replicas were asked":                 {[]found{replica("a", 8), replica("b", 7)}, synced, "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got, decided := Select(c.answers, c.s)
 			must.Eq(t, c.want != "", decided)
 			must.Eq(t, c.want, got.member.ID)
+			must.False(t, got.status.Primary && got.status.Term < c.s.Term, must.Sprint("it must be promoted before it may lead"))
 		})
 	}
 }
