Taking a group over is not repeated on the same picture at every tick

Cause, seen in the logs of the soak: an instance that took a group over tried again every 50 ms until its picture of the store showed the first attempt (up to 0.8 s later), and without end while the store refused. Each call is charged.

Change: on the same revisions the next attempt waits 0.2 s, doubled up to 1.6 s. Test: TestTakeOverIsNotRepeatedAtOnce.

--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -103,6 +103,7 @@
 	provenAt   time.Duration // when our last conditional write was sent; 0: none yet
 	inherited  string        // change that was under way when we took over
 	takenAt    time.Duration // when we took over
+	tried      attempt       // the last attempt to take over
 	absentAt   time.Duration // when the primary's entry was first found missing, 0: it is there
 	outcome    *outcome      // reached, but perhaps not in the store yet
 	conn       member.Conn   // to the primary, for questions
@@ -115,6 +116,34 @@
 	revision int64 // of the record that announced the change
 }
 
+// attempt is one to take a group over.
+type attempt struct {
+	leader, record int64         // revisions of the keys as they were seen then
+	again          time.Duration // before which they must have changed for another
+	pause          time.Duration // that was kept for that
+}
+
+// Bounds of the pause between two attempts to take a group over that rest on the
+// same picture: that picture is as a rule older than the first attempt, or the store
+// refuses. Each call is charged.
+const (
+	minTakeOverPause = 200 * time.Millisecond
+	maxTakeOverPause = 1600 * time.Millisecond
+)
+
+// next returns the attempt on a picture after this one, false while it is too soon.
+func (a attempt) next(now time.Duration, leader, record int64) (attempt, bool) {
+	n := attempt{leader: leader, record: record, pause: minTakeOverPause}
+	if a.pause > 0 && a.leader == leader && a.record == record {
+		if now < a.again {
+			return a, false
+		}
+		n.pause = min(2*a.pause, maxTakeOverPause)
+	}
+	n.again = now + n.pause
+	return n, true
+}
+
 // NewController returns the controller of an instance, which asks its own server
 // as it asks those of others. spawn runs a task in the background.
 func NewController(self Instance, own *Server, peers *peerconn.Conns, store kv.Store, promoter Promoter, dialer member.Dialer, around Surroundings,
@@ -197,6 +226,11 @@
 	view := c.around.View()
 	record, revision := view.Record(group)
 	_, leaderRevision := view.Leader(group)
+	tried, due := g.tried.next(c.now(), leaderRevision, revision)
+	if !due {
+		return
+	}
+	g.tried = tried
 	record.Group = group
 	record.Generation++
 	record.Leader = c.self.Name
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -207,3 +207,18 @@
 		})
 	}
 }
+
+// A group is not taken over again on the same picture at every tick: on the soak some
+// 16 conditional writes were made until the picture showed the first.
+func TestTakeOverIsNotRepeatedAtOnce(t *testing.T) {
+	first, ok := attempt{}.next(0, 0, 7)
+	must.True(t, ok)
+	_, ok = first.next(minTakeOverPause-1, 0, 7)
+	must.False(t, ok)
+	again, ok := first.next(minTakeOverPause, 0, 7)
+	must.True(t, ok)
+	must.Eq(t, 2*minTakeOverPause, again.pause)
+	moved, ok := again.next(minTakeOverPause, 0, 8)
+	must.True(t, ok, must.Sprint("the picture is another"))
+	must.Eq(t, minTakeOverPause, moved.pause)
+}
