Carriers: transactions of an instance that went silent are given up

The carrier read the streams for ever and kept both of its connections to a member; the group was not served through it again. Ruled out: the member (other carriers used it).

Change: a server asks an instance that has said nothing for 2 s whether it is there, and drops it after another second. In the tests' fleet instances reach each other through fault proxies.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -339,6 +339,39 @@
 	}
 }
 
+// The connection between an instance and a carrier goes silent while a transaction
+// is open there. The carrier must not hold the member's connection for ever: on seed
+// 107 of the soak both of its connections were lost so, and its group with them.
+func TestCarrierGivesUpTransactionsOfSilentInstances(t *testing.T) {
+	config := testConfig()
+	config.Groups[0].MaxConnections = scarce
+	f := newFleetWith(t, 5, config)
+	f.eventually("the carriers are known", func() bool { return len(f.carriers()) == 2 })
+	for n := range f.instances {
+		if f.carriers()[n] {
+			continue
+		}
+		c := f.call(n, "strict")
+		c.must("BEGIN", "T")
+		c.must("WRITE 1 x", "T")
+	}
+	for n := range f.carriers() {
+		f.peers[n].SilenceOpen()
+	}
+	f.eventually("no connection is held", func() bool {
+		for n := range f.carriers() {
+			var metrics strings.Builder
+			f.instances[n].upstreams.WriteMetrics(&metrics)
+			if strings.Contains(metrics.String(), `stackspindle_member_in_use{group="orders",member="m1"}`) &&
+				!strings.Contains(metrics.String(), `stackspindle_member_in_use{group="orders",member="m1"} 0`) {
+				return false
+			}
+		}
+		return true
+	})
+	f.call(0, "strict").writeUntilDone("after")
+}
+
 func TestCarriersThatStopOrDie(t *testing.T) {
 	config := testConfig()
 	config.Groups[0].MaxConnections = scarce
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/relay"
+	"github.com/stackspindle/stackspindle/internal/standin/faultproxy"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/standin/memstore"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -53,6 +54,7 @@
 	group     *membergroup.Group
 	instances []*Instance
 	clients   []*memstore.Client
+	peers     []*faultproxy.Proxy // through which the others reach an instance
 }
 
 func encodeJSON(t *testing.T, v any) []byte {
@@ -109,10 +111,13 @@
 func (f *testFleet) start(name string) *Instance {
 	f.t.Helper()
 	client := f.store.Client()
+	proxy, err := faultproxy.New("")
+	must.NoError(f.t, err)
+	f.t.Cleanup(proxy.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	inst, err := New(Settings{
-		Name: name, CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
+		Name: name, CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", PeerAddress: proxy.Addr(), ReadyListen: "127.0.0.1:0",
 		Grace: 6 * time.Second, LeaseTTL: 3 * time.Second, StoreSilence: 4 * time.Second, MaxCallers: 100,
 	}, Platform{
 		Store: client, Promoter: f.group, Dialer: f.group, Decoder: jsonDecoder{},
@@ -121,9 +126,11 @@
 	}, log)
 	must.NoError(f.t, err)
 	must.NoError(f.t, inst.Start())
+	proxy.SetTarget(inst.peerAddr)
 	f.t.Cleanup(inst.close)
 	f.instances = append(f.instances, inst)
 	f.clients = append(f.clients, client)
+	f.peers = append(f.peers, proxy)
 	return inst
 }
 
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -19,6 +19,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/stackspindle/stackspindle/internal/feed"
 	"github.com/stackspindle/stackspindle/internal/feed/feedpb"
@@ -58,7 +59,8 @@
 	Name          string
 	DataCentre    string
 	CallerListen  string
-	PeerListen    string // as bound, also the address under which others reach the instance
+	PeerListen    string
+	PeerAddress   string // under which others reach the instance; empty: as bound
 	ReadyListen   string
 	MetricsListen string        // empty: no metrics are served
 	Grace         time.Duration // after which the platform ends a process that was asked to stop
@@ -73,6 +75,11 @@
 	reportInterval  = 5 * time.Second       // one line a member then
 	backgroundTasks = 256
 	eventsKept      = 512
+	// peerIdle is after what time without a word from another instance it is asked
+	// whether it is there, and peerSilence how long its answer may take. A transaction
+	// that it has open here holds one of the few connections to a member meanwhile.
+	peerIdle    = 2 * time.Second
+	peerSilence = time.Second
 	// enforceDrain is how long open work may outlast a grant that ended without a
 	// release: the same as a planned change gives it.
 	enforceDrain = 500 * time.Millisecond
@@ -112,7 +119,8 @@
 	conns      *peerconn.Conns // to other instances
 	servers    []*http.Server
 
-	callerAddr string // set by Start
+	callerAddr string // both set by Start
+	peerAddr   string
 
 	doubted   atomic.Bool                        // a renewal of the lease got no answer since the last that did
 	stopWatch atomic.Pointer[context.CancelFunc] // ends the watch under way
@@ -131,7 +139,7 @@
 		platform: platform,
 		self: lead.Instance{
 			Name: settings.Name, Incarnation: uuid.NewString(),
-			Address: settings.PeerListen, DataCentre: settings.DataCentre,
+			Address: settings.PeerAddress, DataCentre: settings.DataCentre,
 		},
 		log:     log,
 		started: time.Now(),
@@ -157,7 +165,7 @@
 	server := lead.NewServer(i.self.Incarnation, i.relay.Gate, i.informed, i.now, i.upstreams.Heard)
 	i.controller = lead.NewController(i.self, server, i.conns, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
 		i.now, i.spawn, i.part("lead"))
-	i.peers = grpc.NewServer()
+	i.peers = grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerIdle, Timeout: peerSilence}))
 	leadpb.RegisterCoordinationServer(i.peers, server)
 	i.carrier = relay.NewCarrierServer(i.relay)
 	relaypb.RegisterCarrierServer(i.peers, i.carrier)
@@ -182,7 +190,10 @@
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
-	i.callerAddr, i.self.Address = callers.Addr().String(), peers.Addr().String()
+	i.callerAddr, i.peerAddr = callers.Addr().String(), peers.Addr().String()
+	if i.self.Address == "" {
+		i.self.Address = i.peerAddr
+	}
 	if err := i.serveHTTP("ready", i.settings.ReadyListen, i.platform.Ready(i.Ready)); err != nil {
 		return err
 	}
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -20,10 +20,10 @@
 
 // Proxy passes connections on to one target. It is safe for concurrent use.
 type Proxy struct {
-	target   string
 	listener net.Listener
 
 	mu      sync.Mutex // guards the rest
+	target  string     // empty: it is not known yet
 	fault   Fault
 	changed chan struct{} // closed, and replaced, when the fault changes
 	links   map[*link]struct{}
@@ -39,7 +39,7 @@
 	end      sync.Once
 }
 
-// New starts a proxy before a target.
+// New starts a proxy before a target. Without one connections wait for SetTarget.
 func New(target string) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -53,13 +53,26 @@
 // Addr returns the address under which the target is reached through the proxy.
 func (p *Proxy) Addr() string { return p.listener.Addr().String() }
 
+// SetTarget changes where new connections lead.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	p.wake()
+}
+
+// wake has those that wait look again. The caller holds mu.
+func (p *Proxy) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // Set changes what happens to all connections.
 func (p *Proxy) Set(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.wake()
 }
 
 // Reset breaks all open connections.
@@ -90,16 +103,17 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
-	p.closed = true
+	p.closed, p.fault = true, Fault{RefuseNew: true}
+	p.wake()
 	p.mu.Unlock()
 	_ = p.listener.Close()
 	p.Reset()
 }
 
-func (p *Proxy) state() (Fault, <-chan struct{}) {
+func (p *Proxy) state() (Fault, string, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault, p.changed
+	return p.fault, p.target, p.changed
 }
 
 func (p *Proxy) accept() {
@@ -112,19 +126,27 @@
 	}
 }
 
-func (p *Proxy) serve(from net.Conn) {
+// admit waits until a new connection may lead somewhere, and returns where.
+func (p *Proxy) admit() (string, bool) {
 	for {
-		fault, changed := p.state()
+		fault, target, changed := p.state()
 		if fault.RefuseNew {
-			resetConn(from)
-			return
+			return "", false
 		}
-		if !fault.HoldsOpens {
-			break
+		if !fault.HoldsOpens && target != "" {
+			return target, true
 		}
 		<-changed
 	}
-	to, err := net.Dial("tcp", p.target)
+}
+
+func (p *Proxy) serve(from net.Conn) {
+	target, ok := p.admit()
+	if !ok {
+		resetConn(from)
+		return
+	}
+	to, err := net.Dial("tcp", target)
 	if err != nil {
 		resetConn(from)
 		return
@@ -177,7 +199,7 @@
 // pass waits until something may pass, and reports false when nothing will.
 func (p *Proxy) pass(l *link, holds func(Fault) bool) bool {
 	for {
-		fault, changed := p.state()
+		fault, _, changed := p.state()
 		select {
 		case <-l.silent:
 			<-l.ended // the far end learns nothing
