Soak: real processes under faults from outside, checked from what callers and members see

The platform's store and members are served over its protocol by stand-ins; fault proxies delay, reset, cut one way or both, or silence the ways to the store, to members and between instances; processes are killed, paused, stopped and reloaded.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,6 +44,7 @@
 			checkCommand(),
 			versionCommand(),
 			explainRequestCommand(),
+			soakCommand(),
 		}, operatorCommands()...),
 	}
 }
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -76,6 +76,7 @@
 		DataCentre:    s.DataCentre,
 		CallerListen:  s.CallerListen,
 		PeerListen:    s.PeerListen,
+		PeerAddress:   s.PeerAddress,
 		ReadyListen:   s.Fleet.Ready,
 		MetricsListen: s.Fleet.Metrics,
 		Grace:         s.Fleet.Grace,
--- /dev/null
+++ b/internal/soak/ledger.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+)
+
+// ledger is what the callers of a group were told. It is safe for concurrent use.
+type ledger struct {
+	mu           sync.Mutex // guards all below
+	acknowledged map[string]bool
+	refused      map[string]bool // it was promised that nothing of them is kept
+	ends         []end           // in the order of time, each further than the one before
+}
+
+// end is how far the acknowledged writes reached at a time.
+type end struct {
+	at       time.Time
+	position group.Position
+}
+
+func (l *ledger) acknowledge(id string, p group.Position) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.acknowledged == nil {
+		l.acknowledged = make(map[string]bool)
+	}
+	l.acknowledged[id] = true
+	if n := len(l.ends); n == 0 || l.ends[n-1].position.Less(p) {
+		l.ends = append(l.ends, end{at: time.Now(), position: p})
+	}
+}
+
+func (l *ledger) refuse(ids ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refused == nil {
+		l.refused = make(map[string]bool)
+	}
+	for _, id := range ids {
+		l.refused[id] = true
+	}
+}
+
+// acknowledgedBy returns how far the writes reached that were acknowledged by a time.
+func (l *ledger) acknowledgedBy(at time.Time) group.Position {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := sort.Search(len(l.ends), func(n int) bool { return l.ends[n].at.After(at) })
+	if n == 0 {
+		return group.Position{}
+	}
+	return l.ends[n-1].position
+}
+
+// checkCommits compares what callers were told with what the members have kept.
+func (r *run) checkCommits(g *databaseGroup) {
+	commits := g.members.Commits()
+	kept := make(map[string]bool)
+	for _, w := range g.members.Log() {
+		kept[w.ID] = true
+	}
+	g.ledger.mu.Lock()
+	defer g.ledger.mu.Unlock()
+	for id := range g.ledger.acknowledged {
+		if !kept[id] && !commits[id].Cut {
+			r.finding("group %s: write %s was acknowledged and is gone, though no promotion has dropped it", g.name, id)
+		}
+	}
+	for id := range g.ledger.refused {
+		if _, committed := commits[id]; committed {
+			r.finding("group %s: write %s was committed, though its caller was told that nothing is kept", g.name, id)
+		}
+	}
+	for id, c := range commits {
+		if c.Times > 1 {
+			r.finding("group %s: write %s was committed %d times", g.name, id, c.Times)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+)
+
+// Seeds that failed once, with the cause. The times of a run are not repeated, so
+// each only makes its cause likely; the causes have tests of their own.
+var failedSeeds = map[uint64]string{
+	106: "an old primary that came back, leading an earlier term, was taken for the primary (TestSelect)",
+	107: "a carrier kept connections for transactions of a silent instance (TestCarrierGivesUpTransactionsOfSilentInstances)",
+	122: "the same as 107: no service through a carrier after the last fault",
+	146: "the same as 106, after the primary drained",
+}
+
+// faultsInTests is for how long faults are injected here; by hand it is 15 s and more.
+const faultsInTests = 6 * time.Second
+
+func TestSeedsThatFailedOnce(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "stackspindle")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/stackspindle/stackspindle/cmd/stackspindle").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	for seed, cause := range failedSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			report, err := Run(t.Context(), Options{
+				Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: faultsInTests, Instances: 4, Callers: 8,
+			})
+			must.NoError(t, err)
+			must.SliceEmpty(t, report.Findings, must.Sprintf("once: %s; faults: %v", cause, report.Faults))
+			must.Positive(t, report.Counts["acknowledged"])
+			must.Positive(t, report.Counts["reads"])
+		})
+	}
+}
+
+func position(term, index uint64) group.Position { return group.Position{Term: term, Index: index} }
+
+// newTestCaller returns a caller whose answers a test makes up.
+func newTestCaller(kind string) *caller {
+	r := &run{started: time.Now(), report: Report{Counts: make(map[string]int)}}
+	return &caller{run: r, kind: kind, group: &databaseGroup{ledger: &ledger{}}}
+}
+
+// The check of reads finds logs that are too short or of an earlier term, and lets
+// those of a later term pass, which hold what their promotion has kept.
+func TestReadsThatAreTooOldAreFound(t *testing.T) {
+	for row, found := range map[string]bool{"2.9": false, "2.10": false, "2.8": true, "1.99": true, "3.1": false, "x": true} {
+		c := newTestCaller("strict")
+		c.checkRead(answer{row: row, receipt: "r"}, position(2, 9))
+		must.Eq(t, found, len(c.run.report.Findings) == 1, must.Sprint(row))
+	}
+}
+
+func TestWhatAReadMustSee(t *testing.T) {
+	long := time.Now().Add(-time.Hour)
+	for kind, want := range map[string]group.Position{"strict": position(1, 9), "bounded": position(1, 3), "own": position(1, 5)} {
+		c := newTestCaller(kind)
+		c.floor = position(1, 5)
+		c.group.ledger.ends = []end{{at: long, position: position(1, 3)}, {at: time.Now(), position: position(1, 9)}}
+		must.Eq(t, want, c.required(), must.Sprint(kind))
+	}
+}
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,7 +42,8 @@
 	id      string
 	primary bool
 	term    uint64
-	log     []Write
+	log     []Write        // received
+	applied group.Position // end of what reads see; of a primary its whole log
 	reach   Reach
 	lagging bool // receives nothing
 	lose    int  // answers to lose after the work was done
@@ -58,6 +60,16 @@
 	order      []string
 	nextTerm   uint64
 	promotions []Promotion
+	lag        time.Duration     // of the replicas, until they apply what they received
+	commits    map[string]Commit // all that ever took effect, by the statement's ID
+}
+
+// Commit is what became of a committed write.
+type Commit struct {
+	Write
+	Times int  // it was committed so often
+	Stale bool // it was committed by a member after another one had been promoted
+	Cut   bool // a promotion has dropped it
 }
 
 // Promotion is a call that was made to promote a member.
@@ -69,9 +81,9 @@
 
 // New returns a group whose first member leads.
 func New(name string, ids ...string) *Group {
-	g := &Group{name: name, members: make(map[string]*memberState), order: ids, nextTerm: 2}
+	g := &Group{name: name, members: make(map[string]*memberState), order: ids, nextTerm: 2, commits: make(map[string]Commit)}
 	for i, id := range ids {
-		g.members[id] = &memberState{id: id, primary: i == 0, term: 1, conns: make(map[*conn]struct{})}
+		g.members[id] = &memberState{id: id, primary: i == 0, term: 1, applied: group.Position{Term: 1}, conns: make(map[*conn]struct{})}
 	}
 	return g
 }
@@ -88,13 +100,57 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[id]
+	before := m.reach
 	m.reach = r
-	if r == Dead {
+	switch {
+	case r == Dead:
 		for c := range m.conns {
 			c.closed = true
 		}
 		clear(m.conns)
+	case r == Open && before == Dead:
+		g.yield(m) // it starts, and finds out who leads
+	case r == Open && before == Silent:
+		time.AfterFunc(yieldAfter, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.yield(m)
+		})
+	}
+}
+
+// yieldAfter is for how long an old primary carries on once it can reach the new one.
+const yieldAfter = time.Second
+
+// yield makes a member a replica if another was promoted. The caller holds mu.
+func (g *Group) yield(m *memberState) {
+	if m.reach == Open && m.primary && g.leader() != m {
+		m.primary = false
 	}
+	g.replicate()
+}
+
+// Commits returns what became of every write that was committed, by the ID of its
+// statement.
+func (g *Group) Commits() map[string]Commit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.commits)
+}
+
+// Committed returns what became of one write.
+func (g *Group) Committed(id string) (Commit, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.commits[id]
+	return c, ok
+}
+
+// SetLag has replicas apply what they received that much later.
+func (g *Group) SetLag(lag time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lag = lag
 }
 
 // SetLagging stops a replica from receiving, or lets it catch up.
@@ -163,10 +219,28 @@
 		if !m.primary && !m.lagging && m.reach == Open {
 			m.log = append([]Write(nil), leader.log...)
 			m.term = leader.term
+			g.apply(m)
 		}
 	}
 }
 
+// apply has a replica's reads see what it has received, once the lag is over. The
+// caller holds mu.
+func (g *Group) apply(m *memberState) {
+	end := group.Position{Term: m.term, Index: uint64(len(m.log))}
+	if g.lag == 0 {
+		m.applied = end
+		return
+	}
+	time.AfterFunc(g.lag, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if m.term == end.Term {
+			m.applied = group.Max(m.applied, end)
+		}
+	})
+}
+
 // Promote implements lead.Promoter.
 func (g *Group) Promote(_ context.Context, _, id, instance string, token uint64) error {
 	g.mu.Lock()
@@ -179,6 +253,7 @@
 	if m.primary {
 		return nil
 	}
+	g.cutAllBut(m.log)
 	m.primary, m.term = true, g.nextTerm
 	g.nextTerm++
 	for _, other := range g.members {
@@ -191,6 +266,20 @@
 	return nil
 }
 
+// cutAllBut notes what a promotion of a member with a log drops. The caller holds mu.
+func (g *Group) cutAllBut(log []Write) {
+	kept := make(map[string]bool, len(log))
+	for _, w := range log {
+		kept[w.ID] = true
+	}
+	for id, c := range g.commits {
+		if !kept[id] {
+			c.Cut = true
+			g.commits[id] = c
+		}
+	}
+}
+
 // Dial implements member.Dialer.
 func (g *Group) Dial(ctx context.Context, m topology.Member) (member.Conn, error) {
 	g.mu.Lock()
@@ -327,12 +416,22 @@
 	for _, w := range writes {
 		w.Position = group.Position{Term: c.member.term, Index: uint64(len(c.member.log) + 1)}
 		c.member.log = append(c.member.log, w)
+		stale := c.group.leader() != c.member
+		c.group.commits[w.ID] = Commit{Write: w, Times: c.group.commits[w.ID].Times + 1, Stale: stale, Cut: stale}
 	}
 	c.group.replicate()
 }
 
-// end returns the end of the member's log in its term.
+// end returns the end of the log that reads of the member see.
 func (c *conn) end() group.Position {
+	if c.member.primary {
+		return c.received()
+	}
+	return c.member.applied
+}
+
+// received returns the end of the member's log.
+func (c *conn) received() group.Position {
 	return group.Position{Term: c.member.term, Index: uint64(len(c.member.log))}
 }
 
@@ -379,7 +478,7 @@
 		return member.Status{}, err
 	}
 	defer c.group.mu.Unlock()
-	return member.Status{Primary: c.member.primary, Term: c.member.term, Received: c.end()}, nil
+	return member.Status{Primary: c.member.primary, Term: c.member.term, Received: c.received()}, nil
 }
 
 // StepDown implements member.Conn.
@@ -391,7 +490,7 @@
 	if c.member.primary && c.member.term < term {
 		c.member.primary = false
 	}
-	return member.Status{Primary: c.member.primary, Term: c.member.term, Received: c.end()}, nil
+	return member.Status{Primary: c.member.primary, Term: c.member.term, Received: c.received()}, nil
 }
 
 // Silent implements member.Conn.
--- /dev/null
+++ b/internal/standin/membergroup/membergroup_test.go
@@ -0,0 +1,37 @@
+package membergroup
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// What is committed by a replaced primary, and what a promotion drops, is told.
+func TestStaleAndCutCommits(t *testing.T) {
+	g := New("g", "a", "b")
+	conn, err := g.Dial(t.Context(), topology.Member{ID: "a"})
+	must.NoError(t, err)
+	write := func(id string) {
+		_, err := conn.Run(member.Request{Statement: statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE x y"}, Deadline: time.Now().Add(time.Hour)})
+		must.NoError(t, err)
+	}
+	write("kept")
+	g.SetLagging("b", true)
+	write("cut")
+	g.SetReach("b", Silent)
+	must.NoError(t, g.Promote(t.Context(), "g", "b", "leader", 1))
+	g.mu.Lock()
+	g.members["a"].primary = true // it has not heard of its successor
+	g.mu.Unlock()
+	write("stale")
+	commits := g.Commits()
+	must.False(t, commits["kept"].Cut || commits["kept"].Stale)
+	must.True(t, commits["cut"].Cut)
+	must.False(t, commits["cut"].Stale)
+	must.True(t, commits["stale"].Stale)
+}
--- /dev/null
+++ b/internal/standin/memberserver/memberserver.go
@@ -0,0 +1,258 @@
+// Package memberserver serves a member of a group in memory over the platform's
+// line protocol, for tests with real processes. What it checks of the statements
+// that reach it, it tells as findings.
+package memberserver
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// answerTime bounds the work of a statement here; a member that is silent leaves
+// its callers without an answer for that long.
+const answerTime = 3 * time.Second
+
+// Server serves one member.
+type Server struct {
+	id       string
+	dialer   member.Dialer
+	work     time.Duration
+	listener net.Listener
+	finding  func(format string, args ...any)
+}
+
+// New starts a server for a member. Each statement takes the time of its work.
+func New(id string, dialer member.Dialer, work time.Duration, finding func(format string, args ...any)) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("member %s: %w", id, err)
+	}
+	s := &Server{id: id, dialer: dialer, work: work, listener: l, finding: finding}
+	go s.accept()
+	return s, nil
+}
+
+// Addr returns the address of the member.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+// session is one connection. owner is whose transaction is open on it.
+type session struct {
+	server *Server
+	conn   member.Conn
+	state  statement.State
+	owner  string
+	values map[string]string
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	line, err := r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "STARTUP ") {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	inner, err := s.dialer.Dial(ctx, topology.Member{ID: s.id})
+	if err != nil {
+		return // it is down
+	}
+	defer inner.Close()
+	c := &session{server: s, conn: inner, state: statement.Idle, values: make(map[string]string)}
+	if _, err := fmt.Fprintf(conn, "READY I -\r\n"); err != nil {
+		return
+	}
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		id, text, ok := strings.Cut(strings.TrimPrefix(strings.TrimRight(line, "\r\n"), "QUERY "), " ")
+		if !ok || !strings.HasPrefix(line, "QUERY ") {
+			return
+		}
+		answer, err := c.run(id, text)
+		if err != nil {
+			return // the answer is lost
+		}
+		if _, err := conn.Write(spell(answer)); err != nil {
+			return
+		}
+	}
+}
+
+func spell(a statement.Answer) []byte {
+	var out strings.Builder
+	for _, row := range a.Rows {
+		fmt.Fprintf(&out, "ROW %s\r\n", row)
+	}
+	if a.Err != nil {
+		fmt.Fprintf(&out, "ERROR %s %s\r\n", words[a.Err.Code], a.Err.Detail)
+	} else {
+		fmt.Fprintf(&out, "COMPLETE %s\r\n", a.Receipt)
+	}
+	fmt.Fprintf(&out, "READY %c %d.%d\r\n", a.State, a.Position.Term, a.Position.Index)
+	return []byte(out.String())
+}
+
+// words are the protocol's words for what a member here refuses.
+var words = map[statement.Code]string{
+	statement.Lagging: "LAGGING", statement.ReadOnly: "READONLY", statement.Unprepared: "NOSTMT", statement.Malformed: "MALFORMED",
+}
+
+// run runs one text.
+func (c *session) run(id, text string) (statement.Answer, error) {
+	deadline := time.Now().Add(answerTime)
+	word, rest, _ := strings.Cut(text, " ")
+	switch word {
+	case "STATUS":
+		return c.status(c.conn.Status(deadline))
+	case "STEPDOWN":
+		term, err := strconv.ParseUint(rest, 10, 64)
+		if err != nil {
+			return c.malformed(text), nil
+		}
+		return c.status(c.conn.StepDown(deadline, term))
+	case "RESET":
+		clear(c.values)
+		return c.done(c.conn.Configure(deadline, true, nil, nil))
+	case "SET":
+		name, value, _ := strings.Cut(rest, " ")
+		c.values[name] = value
+		return c.done(c.conn.Configure(deadline, false, []member.Value{{Name: name, Value: value}}, nil))
+	case "PREPARE":
+		f := strings.Fields(rest)
+		if len(f) != 3 {
+			return c.malformed(text), nil
+		}
+		return c.done(c.conn.Configure(deadline, false, nil, []member.Prepared{{Name: f[0], Writes: f[1] == "WRITE", Shape: f[2]}}))
+	}
+	time.Sleep(c.server.work)
+	return c.statement(id, text, deadline)
+}
+
+var errMalformed = &statement.Error{Code: statement.Malformed}
+
+func (c *session) malformed(text string) statement.Answer {
+	c.server.finding("member %s was sent %q, which is no statement", c.server.id, text)
+	return statement.Answer{State: c.state, Err: errMalformed}
+}
+
+func (c *session) done(err error) (statement.Answer, error) {
+	return statement.Answer{State: c.state, Receipt: statement.NoReceipt}, err
+}
+
+func (c *session) status(st member.Status, err error) (statement.Answer, error) {
+	role := "replica"
+	if st.Primary {
+		role = "primary"
+	}
+	row := fmt.Sprintf("%s %d %d.%d 0 0 0 0", role, st.Term, st.Received.Term, st.Received.Index)
+	return statement.Answer{Rows: []string{row}, State: c.state, Receipt: statement.NoReceipt, Position: st.Received}, err
+}
+
+// statement runs a caller's statement. A read's row is the end of the log that it
+// ran on, so that whoever asked can tell how old it was.
+func (c *session) statement(id, text string, deadline time.Time) (statement.Answer, error) {
+	req := member.Request{Deadline: deadline}
+	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
+		position, more, _ := strings.Cut(rest, " ")
+		term, index, _ := strings.Cut(position, ".")
+		t, errTerm := strconv.ParseUint(term, 10, 64)
+		i, errIndex := strconv.ParseUint(index, 10, 64)
+		if errors.Join(errTerm, errIndex) != nil {
+			return c.malformed(text), nil
+		}
+		req.After, text = group.Position{Term: t, Index: i}, more
+	}
+	st, ok := parse(id, text)
+	if !ok {
+		if id != statement.NoReceipt {
+			return c.malformed(text), nil
+		}
+		st = statement.Statement{ID: id, Text: text, Kind: statement.Rollback}
+	}
+	req.Statement, req.Name = st, st.Name
+	c.checkOwner(st)
+	answer, err := c.conn.Run(req)
+	if err != nil {
+		return answer, err
+	}
+	c.state = answer.State
+	if answer.State == statement.Idle {
+		c.owner = ""
+	}
+	for n := range answer.Rows {
+		answer.Rows[n] = fmt.Sprintf("%d.%d", answer.Position.Term, answer.Position.Index)
+	}
+	return answer, nil
+}
+
+// checkOwner finds statements of one caller in another's transaction, or with
+// another's values. A statement's ID begins with its caller's name and a dash; a
+// caller sets the value "owner" to its name, or no value.
+func (c *session) checkOwner(st statement.Statement) {
+	if st.ID == statement.NoReceipt {
+		return
+	}
+	owner, _, _ := strings.Cut(st.ID, "-")
+	if c.owner != "" && c.owner != owner {
+		c.server.finding("member %s: statement %s runs in the transaction of %s", c.server.id, st.ID, c.owner)
+	}
+	if st.Kind == statement.Begin || st.Kind == statement.BeginRead {
+		c.owner = owner
+	}
+	if value, set := c.values["owner"]; set && value != owner {
+		c.server.finding("member %s: statement %s runs with the values of %s", c.server.id, st.ID, value)
+	}
+}
+
+// parse reads the text of a caller's statement.
+func parse(id, text string) (statement.Statement, bool) {
+	st := statement.Statement{ID: id, Text: text}
+	word, rest, _ := strings.Cut(text, " ")
+	switch {
+	case text == "BEGIN":
+		st.Kind = statement.Begin
+	case text == "BEGIN READ":
+		st.Kind = statement.BeginRead
+	case text == "COMMIT":
+		st.Kind = statement.Commit
+	case text == "ROLLBACK":
+		st.Kind = statement.Rollback
+	case word == "READ":
+		st.Kind = statement.Read
+	case word == "WRITE":
+		st.Kind = statement.Write
+	case word == "EXECUTE":
+		st.Kind = statement.Execute
+		st.Name, st.Args, _ = strings.Cut(rest, " ")
+	default:
+		return st, false
+	}
+	return st, true
+}
--- /dev/null
+++ b/internal/standin/platformstore/platformstore.go
@@ -0,0 +1,273 @@
+// Package platformstore is a stand-in that serves the platform's store and its call
+// for promotions over HTTP, as the platform's page describes them, from the store in
+// memory. Leases run out.
+package platformstore
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/standin/memstore"
+)
+
+// Promote makes a member the primary of its group.
+type Promote func(group, member, instance string, fencingToken uint64) error
+
+// Server serves one store.
+type Server struct {
+	store    *memstore.Store
+	client   *memstore.Client
+	promote  Promote
+	http     *http.Server
+	listener net.Listener
+	slow     atomic.Int64 // nanoseconds before each answer
+
+	mu     sync.Mutex // guards leases
+	leases map[kv.LeaseID]*lease
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// New starts a server on loopback.
+func New(store *memstore.Store, promote Promote) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("platform store: %w", err)
+	}
+	s := &Server{store: store, client: store.Client(), promote: promote, listener: l, leases: make(map[kv.LeaseID]*lease)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/kv-key", s.get)
+	mux.HandleFunc("GET /api/kv-range", s.list)
+	mux.HandleFunc("GET /api/kv-watch", s.watch)
+	mux.HandleFunc("POST /api/kv-txn", s.commit)
+	mux.HandleFunc("POST /api/kv-lease", s.grant)
+	mux.HandleFunc("POST /api/kv-keep/{id}", s.renew)
+	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.revoke)
+	mux.HandleFunc("POST /promote", s.servePromote)
+	s.http = &http.Server{Handler: s.delayed(mux), ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.http.Serve(l) }() // ends with Close
+	return s, nil
+}
+
+// Addr returns the address of the store, and of the call for promotions.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Set changes what goes wrong with calls.
+func (s *Server) Set(f memstore.Faults) { s.client.Set(f) }
+
+// SetSlow has each answer wait.
+func (s *Server) SetSlow(d time.Duration) { s.slow.Store(int64(d)) }
+
+// EndLeases ends all leases, as a store does that was away for long.
+func (s *Server) EndLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.leases {
+		l.timer.Stop()
+		delete(s.leases, id)
+		s.store.EndLease(id)
+	}
+}
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.http.Close() }
+
+func (s *Server) delayed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Duration(s.slow.Load()))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// item is an item, or an event, as the platform spells it.
+type item struct {
+	Key     string `json:"tls-key"`
+	Value   []byte `json:"value"`
+	Changed int64  `json:"mod-revision"`
+	Lease   int64  `json:"lease-id"`
+	Removed bool   `json:"compacted,omitempty"`
+}
+
+func spell(i kv.Item, removed bool) item {
+	return item{Key: i.Key, Value: i.Value, Changed: i.Revision, Lease: int64(i.Lease), Removed: removed}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	found, err := s.client.Get(r.Context(), r.URL.Query().Get("tls-key"))
+	switch {
+	case err != nil:
+		fail(w, err)
+	case found.Revision == 0:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		reply(w, http.StatusOK, spell(found, false))
+	}
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	items, revision, err := s.client.List(r.Context(), r.URL.Query().Get("path-prefix"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	spelled := []item{}
+	for _, i := range items {
+		spelled = append(spelled, spell(i, false))
+	}
+	reply(w, http.StatusOK, map[string]any{"items": spelled, "has-more": false, "at-revision": revision})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, errAfter := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, errWait := strconv.Atoi(q.Get("wait-ms"))
+	if err := errors.Join(errAfter, errWait); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	events, revision, err := s.client.Watch(r.Context(), q.Get("path-prefix"), after, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	spelled := []item{}
+	for _, e := range events {
+		spelled = append(spelled, spell(e.Item, e.Deleted))
+	}
+	reply(w, http.StatusOK, map[string]any{"events": spelled, "at-revision": revision})
+}
+
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expect []item   `json:"expect-rev"`
+		Puts   []item   `json:"set-keys"`
+		Delete []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	txn := kv.Txn{Delete: body.Delete}
+	for _, e := range body.Expect {
+		txn.Expect = append(txn.Expect, kv.Expect{Key: e.Key, Revision: e.Changed})
+	}
+	for _, p := range body.Puts {
+		txn.Puts = append(txn.Puts, kv.Put{Key: p.Key, Value: p.Value, Lease: kv.LeaseID(p.Lease)})
+	}
+	revision, err := s.client.Commit(r.Context(), txn)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, http.StatusOK, map[string]any{"mod-revision": revision})
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	granted, err := s.client.Grant(r.Context(), ttl)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	s.mu.Lock()
+	s.leases[granted.ID] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.end(granted.ID) })}
+	s.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{"lease-id": granted.ID, "ttl-ms": body.TTL})
+}
+
+func (s *Server) end(id kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	s.store.EndLease(id)
+}
+
+func leaseOf(r *http.Request) kv.LeaseID {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64) // 0 is no lease
+	return kv.LeaseID(id)
+}
+
+func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
+	id := leaseOf(r)
+	if err := s.client.Renew(r.Context(), id); err != nil {
+		fail(w, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil {
+		l.timer.Reset(l.ttl)
+	}
+	reply(w, http.StatusOK, map[string]any{})
+}
+
+func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
+	if err := s.client.Revoke(r.Context(), leaseOf(r)); err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, http.StatusOK, map[string]any{})
+}
+
+func (s *Server) servePromote(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Group  string `json:"service"`
+		Member string `json:"id"`
+	}
+	token, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
+	if err = errors.Join(err, json.NewDecoder(r.Body).Decode(&body)); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.promote(body.Group, body.Member, r.Header.Get("Duty-Holder"), token); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	reply(w, http.StatusOK, map[string]any{})
+}
+
+// fail answers with the status that an error stands for. A lost answer breaks the
+// connection.
+func fail(w http.ResponseWriter, err error) {
+	var conflict *kv.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		items := []item{}
+		for _, i := range conflict.Items {
+			items = append(items, spell(i, false))
+		}
+		reply(w, http.StatusPreconditionFailed, map[string]any{"items": items})
+	case errors.Is(err, kv.ErrCompacted):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, kv.ErrNoLease):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, memstore.ErrLost):
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller has gone: nobody is to be told
+}
