Feed: while the store is away, those that do not watch it ask it seldom

Ruled out: renewals (569 failed ones, a tenth of the price each).

Change: instances that do not watch try the store again after 0.4 to 3.2 s and hear of its return from a watcher, which they ask again after 0.3 to 1.2 s if it answered without news; instances that do not watch either are asked one each 0.5 s.

--- a/internal/feed/sources.go
+++ b/internal/feed/sources.go
@@ -16,18 +16,37 @@
 	// instancesPerWatcher adds watchers in large data centres: at 92 instances (550
 	// in 6) each answers 25 questions a second.
 	instancesPerWatcher = 16
-	// For how long a source that failed is left alone; it doubles with each failure.
-	// Each call of the store is charged, refused ones too, and it must be heard again
-	// soon after it was away. An instance that is silent costs 0.9 s, within which no
-	// other is asked, so the others and the store must have their turn before it.
-	minStorePause = 50 * time.Millisecond
-	maxStorePause = 800 * time.Millisecond
-	minPeerPause  = 2 * time.Second
-	maxPeerPause  = 8 * time.Second
+	// For how long a source that failed is left alone; each pause doubles with each
+	// further failure. Each call of the store is charged, refused ones too: those that
+	// watch it must hear it again soon after it was away, the others hear of that from
+	// them.
+	minWatcherStorePause = 50 * time.Millisecond
+	maxWatcherStorePause = 800 * time.Millisecond
+	minStorePause        = 400 * time.Millisecond
+	maxStorePause        = 3200 * time.Millisecond
+	// An instance that is silent costs 0.9 s, within which no other is asked, so the
+	// others and the store must have their turn before it.
+	minSilentPause = 2 * time.Second
+	maxSilentPause = 8 * time.Second
+	// One that has no news says so at once.
+	minStalePause = 300 * time.Millisecond
+	maxStalePause = 1200 * time.Millisecond
+	// lastResortPause is the pause between two questions to instances that do not
+	// watch the store, of which there may be hundreds.
+	lastResortPause = 500 * time.Millisecond
 	// watchKey ranks the instances for watching the store.
 	watchKey = "store watch"
 )
 
+// Failure is how a source failed.
+type Failure int
+
+// The ways.
+const (
+	Silent Failure = iota // it did not answer, or refused
+	Stale                 // it answered, and has no news itself
+)
+
 // Store is the name of the store among the sources.
 const Store = ""
 
@@ -40,10 +59,12 @@
 // Sources decides whom an instance asks for news. It has no clock and is not safe
 // for concurrent use.
 type Sources struct {
-	self    ownership.Instance
-	turn    int
-	pauses  map[string]time.Duration // by name of a source that failed
-	retryAt map[string]time.Duration // the same
+	self       ownership.Instance
+	turn       int
+	watches    bool                     // this instance is to watch the store
+	lastResort time.Duration            // before which no instance is asked that does not watch
+	pauses     map[string]time.Duration // by name of a source that failed
+	retryAt    map[string]time.Duration // the same
 }
 
 // NewSources returns the sources of an instance.
@@ -69,13 +90,17 @@
 // the watchers elsewhere, then any other. One that failed a moment ago is passed
 // over while another is left.
 func (s *Sources) Next(now time.Duration, alive []ownership.Instance) Choice {
-	order := s.order(alive)
+	order, other := s.order(alive)
 	best := Choice{Name: order[0], Rest: s.rest(now, order[0])}
 	for _, name := range order[1:] {
 		if rest := s.rest(now, name); rest < best.Rest {
 			best = Choice{Name: name, Rest: rest}
 		}
 	}
+	if best.Rest > 0 && other != "" && now >= s.lastResort {
+		best = Choice{Name: other}
+		s.lastResort = now + lastResortPause
+	}
 	s.turn++
 	return best
 }
@@ -84,10 +109,11 @@
 	return max(0, s.retryAt[name]-now)
 }
 
-// order returns all sources, the preferred first.
-func (s *Sources) order(alive []ownership.Instance) []string {
+// order returns the store and all that watch it, the preferred first, and one other
+// instance, if there is any.
+func (s *Sources) order(alive []ownership.Instance) (order []string, other string) {
 	near := Watchers(alive, s.self.DataCentre)
-	watches := slices.Contains(near, s.self.Name) || len(near) == 0
+	s.watches = slices.Contains(near, s.self.Name) || len(near) == 0
 	var far, others []string
 	for _, dataCentre := range dataCentres(alive) {
 		if dataCentre != s.self.DataCentre {
@@ -95,17 +121,19 @@
 		}
 	}
 	for _, i := range alive {
-		if !slices.Contains(near, i.Name) && !slices.Contains(far, i.Name) {
+		if !slices.Contains(near, i.Name) && !slices.Contains(far, i.Name) && i.Name != s.self.Name {
 			others = append(others, i.Name)
 		}
 	}
-	order := []string{Store}
-	if watches {
-		order = slices.Concat(order, s.rotate(near))
+	if s.watches {
+		order = slices.Concat([]string{Store}, s.rotate(near), far)
 	} else {
-		order = slices.Concat(s.rotate(near), order)
+		order = slices.Concat(s.rotate(near), []string{Store}, far)
 	}
-	return slices.DeleteFunc(slices.Concat(order, far, s.rotate(others)), func(name string) bool { return name == s.self.Name })
+	if len(others) > 0 {
+		other = others[s.turn%len(others)]
+	}
+	return slices.DeleteFunc(order, func(name string) bool { return name == s.self.Name }), other
 }
 
 // rotate begins a list at another place in each turn.
@@ -137,15 +165,25 @@
 	return failed
 }
 
-// Failed notes that a source gave no answer, or one that is out of date, and
-// reports whether that is new.
-func (s *Sources) Failed(now time.Duration, name string) bool {
+// Failed notes that a source gave no answer, or one without news, and reports
+// whether that is new.
+func (s *Sources) Failed(now time.Duration, name string, how Failure) bool {
 	last, again := s.pauses[name]
-	shortest, longest := minPeerPause, maxPeerPause
-	if name == Store {
-		shortest, longest = minStorePause, maxStorePause
-	}
+	shortest, longest := s.bounds(name, how)
 	pause := min(max(shortest, 2*last), longest)
 	s.pauses[name], s.retryAt[name] = pause, now+pause
 	return !again
 }
+
+// bounds returns the least and the greatest pause after a failure.
+func (s *Sources) bounds(name string, how Failure) (time.Duration, time.Duration) {
+	switch {
+	case name == Store && s.watches:
+		return minWatcherStorePause, maxWatcherStorePause
+	case name == Store:
+		return minStorePause, maxStorePause
+	case how == Stale:
+		return minStalePause, maxStalePause
+	}
+	return minSilentPause, maxSilentPause
+}
