--- a/internal/fleet/register.go
+++ b/internal/fleet/register.go
@@ -12,9 +12,11 @@
 
 // Settings of the registration.
 const (
-	// renewalsPerTTL is how often a lease is renewed within its time, so that one
-	// lost renewal does not end it.
-	renewalsPerTTL = 3
+	// renewalsPerTTL is how often a lease is renewed within its time, and
+	// timeoutsPerTTL how many times the wait for an answer fits into it: after a
+	// renewal without an answer there is time for another. Each is charged.
+	renewalsPerTTL = 2
+	timeoutsPerTTL = 3
 	// registerPause is the pause after a call that did not succeed; it doubles with
 	// each further one up to maxRegisterPause. Each call is charged, refused ones too.
 	registerPause    = 150 * time.Millisecond
@@ -57,7 +59,7 @@
 		log.Info("registration: the instance is registered")
 		return i.settings.LeaseTTL / renewalsPerTTL, true
 	}
-	ctx, cancel := context.WithTimeout(i.ctx, i.settings.LeaseTTL/renewalsPerTTL)
+	ctx, cancel := context.WithTimeout(i.ctx, i.settings.LeaseTTL/timeoutsPerTTL)
 	defer cancel()
 	started := i.now()
 	switch err := i.platform.Store.Renew(ctx, id); {
