Carriers: fewer with larger pools; a read that a member failed runs at another

Change: where not every instance can hold 2 connections to a member, carriers hold 4 (12 of them before 53); a read that failed is offered to another member, twice at the most, and its failure is told if that fails too. A write is not repeated.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -182,6 +182,39 @@
 	c.must("READ 0", "I")
 }
 
+// A read that a member has failed runs at another. On an incident of
+// swancoast-dispatch-grown one member failed part of what it ran for five seconds.
+func TestFailedReadRunsElsewhere(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.call(0, "own")
+	c.must("WRITE 0 x", "I")
+	for _, id := range testMembers[1:] {
+		f.group.FailStatements(id, 1)
+	}
+	c.must("READ 0", "I")
+}
+
+// One that fails everywhere is told as what it is, and a failed write is not repeated.
+func TestFailureIsTold(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.call(0, "own")
+	c.must("WRITE 0 x", "I")
+	const always = 100
+	for _, id := range testMembers {
+		f.group.FailStatements(id, always)
+	}
+	line, state := c.query("READ 0")
+	must.StrHasPrefix(t, "ERROR FAILED", line)
+	must.Eq(t, "I", state)
+	for _, id := range testMembers {
+		f.group.FailStatements(id, 0)
+	}
+	f.group.FailStatements("m1", 1)
+	line, _ = c.query("WRITE 1 x")
+	must.StrHasPrefix(t, "ERROR FAILED", line)
+	must.Len(t, 1, f.group.Log())
+}
+
 // A transaction whose connection is lost has kept nothing, and its caller hears so.
 func TestTransactionLostWithItsConnection(t *testing.T) {
 	f := newFleet(t, 1)
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -8,14 +8,25 @@
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
-// leastPool is the least number of connections to a member with which an instance
-// can serve: one that a transaction holds, and one for everything else.
-const leastPool = 2
+const (
+	// leastPool is the least number of connections to a member with which an
+	// instance can serve: one that a transaction holds, and one for everything else.
+	leastPool = 2
+	// sharedPool is how many a carrier has where not every instance can be one. A few
+	// larger pools need fewer connections in all than many small ones, so that there is
+	// room for new ones while those of instances that have just died take up to 3 s
+	// to go.
+	sharedPool = 4
+)
 
 // CarrierCount returns how many instances may hold connections of their own to
 // the members of a group. All others pass their callers' statements to these.
 func CarrierCount(maxConnections, instances int) int {
-	return max(1, min(instances, (maxConnections-reservedConnections)/leastPool))
+	usable := maxConnections - reservedConnections
+	if usable/leastPool >= instances {
+		return max(1, instances) // none is known while an instance starts
+	}
+	return max(1, usable/sharedPool)
 }
 
 // Carriers are the instances that hold connections to a group's members.
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -37,6 +37,9 @@
 	// work of its member any more, so that a lost answer does not keep others
 	// away. It is several times the work of a statement (6 to 40 ms on the sheets).
 	stuckAfter = 120 * time.Millisecond
+	// maxFailures is how many members may fail a read before its failure is the
+	// caller's: the statement itself may be at fault.
+	maxFailures = 2
 	// retryPause is the pause after all members have refused.
 	retryPause = 6 * time.Millisecond
 	// comeBack is the advice of a refusal when nothing better is known.
@@ -67,6 +70,9 @@
 	tries    int
 	why      string // the last refusal, for the caller and the log
 
+	failures int              // members that ran the read and failed
+	failed   statement.Answer // of the last of them
+
 	lastMember string         // that was tried last
 	lastAfter  group.Position // what its log had to hold
 }
@@ -308,6 +314,9 @@
 		return a.refusedBy(up, held, answer)
 	}
 	a.offered = true
+	if a.mayRunAgain(answer) {
+		return a.failedAt(up, held, answer)
+	}
 	return a.settle(up, held, t.pass, answer)
 }
 
@@ -345,6 +354,23 @@
 	return statement.Answer{}, notRun
 }
 
+// mayRunAgain reports whether a read that a member ran and failed is to be given to
+// another: a member may fail part of what it runs while all else about it is well.
+func (a *attempt) mayRunAgain(answer statement.Answer) bool {
+	return a.reads && answer.State == statement.Idle && answer.Err != nil &&
+		answer.Err.Code == statement.StatementFailed && a.failures < maxFailures
+}
+
+// failedAt passes over a member that has failed a read.
+func (a *attempt) failedAt(up *upstream, held *hold, answer statement.Answer) (statement.Answer, outcome) {
+	held.release()
+	up.noteMiss(a.now())
+	a.failures++
+	a.failed = answer
+	a.why = "member " + up.id + ": " + answer.Err.Error()
+	return statement.Answer{}, notRun
+}
+
 // settle passes an answer on. A transaction keeps its connection.
 func (a *attempt) settle(up *upstream, held *hold, pass *lead.Pass, answer statement.Answer) (statement.Answer, outcome) {
 	if answer.State != statement.Idle {
@@ -364,8 +390,11 @@
 	return answer, served
 }
 
-// refuse gives the statement up. Nothing of it has run.
+// refuse gives the statement up. Nothing of it has run, but for a read that failed.
 func (a *attempt) refuse() statement.Answer {
+	if a.failures > 0 {
+		return a.failed
+	}
 	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", a.why)
 	answer.Err.RetryAfter = comeBack
 	return answer
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -47,6 +47,7 @@
 	reach   Reach
 	lagging bool // receives nothing
 	lose    int  // answers to lose after the work was done
+	fail    int  // statements to fail
 	ran     []string
 	conns   map[*conn]struct{}
 }
@@ -168,6 +169,13 @@
 	g.members[id].lose = n
 }
 
+// FailStatements has a member fail its next n statements.
+func (g *Group) FailStatements(id string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].fail = n
+}
+
 // Primary returns the member that leads in the newest term.
 func (g *Group) Primary() string {
 	g.mu.Lock()
@@ -351,6 +359,10 @@
 
 func (c *conn) run(req member.Request) statement.Answer {
 	st, m := req.Statement, c.member
+	if m.fail > 0 {
+		m.fail--
+		return c.answer(statement.StatementFailed, m.id)
+	}
 	text := st.Text
 	writes := st.Kind == statement.Write
 	if st.Kind == statement.Execute {
