--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,7 +41,7 @@
 	memberWork      = 5 * time.Millisecond  // of a statement, as on the sheets' shortest
 	memberLag       = 40 * time.Millisecond // of replicas, between the sheets' 20 and 60
 	plenty          = 40                    // connections of a member: each instance has some
-	scarce          = 6                     // two instances have some, for all others
+	scarce          = 10                    // two instances have some, for all others
 	staleness       = 2 * time.Second       // that bounded routes allow
 	statementTime   = time.Second           // of the routes
 	recovery        = 40 * time.Second      // until all must serve once faults are over; grants last 15 to 31 s
