--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -10,7 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/stackspindle/stackspindle/internal/soak"
+	"github.com/stackspindle/stackspindle/internal/standin/soak"
 )
 
 // shownFindings bounds how many findings of a seed are printed; one cause may bring
