Grants of 3 s; unconfirmed ones are verified by the members; most attest

The length served two ends: it also let an instance that is cut off from the store serve on.

Change: a grant is confirmed for 3 s. Beyond that an instance may use the primary for 12 s after it last heard of the store, and passes an answer on only after every other member that it knows of has said, asked after the answer came, that it does not lead. A member that such an instance may not know of (known to the leader for less than 13.3 s) is not promoted while one may exist. Most of the registered instances attest instead of two thirds, from 2.7 s of silence on instead of 11; so many must have released that those which remain are no quorum. The watch of the store ends after 1 s, which confirms grants in time.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -16,10 +16,14 @@
 // reach it, come back; work for one that is gone must end within 7 s.
 const memberGrace = 4 * time.Second
 
+// departedMemory is for how long an instance that does not hear of the store reckons
+// with the return of a member: as long as it may use a primary then.
+const departedMemory = 2 * lead.VerifiableFor
+
 // control holds the control state: it takes in what the follower learned,
 // publishes snapshots, and looks at what is due.
 func (i *Instance) control() error {
-	state := topology.New(memberGrace)
+	state := topology.New(memberGrace, departedMemory)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	report := time.NewTicker(reportInterval)
@@ -49,12 +53,13 @@
 
 // Settings of the questions to the other instances.
 const (
-	// attestAfter is for how long the store must not have confirmed the grants: more
-	// than two watches (6 to 8 s on the sheets), of the 15 s for which grants last.
-	attestAfter = 11 * time.Second
-	// attestEvery is the pause between two rounds: there is time for three before a
-	// grant lapses.
-	attestEvery = time.Second
+	// attestAfter is for how long the store must not have confirmed the grants before
+	// the other instances are asked: more than passes between two confirmations where
+	// the store answers, and little less than grants are confirmed for.
+	attestAfter = lead.GrantValidity - 300*time.Millisecond
+	// attestEvery is the pause between two rounds: there is time for a second one
+	// before what the first has attested lapses.
+	attestEvery = lead.GrantValidity / 3
 )
 
 // attest has the other instances stand in for the store while it is silent.
@@ -118,7 +123,7 @@
 	if c.Whole {
 		present := make(map[string]bool)
 		for _, e := range c.Events {
-			changed = i.applyKey(state, e) || changed
+			changed = i.applyKey(state, e, true) || changed
 			if id, ok := i.platform.Decoder.MemberID(e.Key); ok {
 				present[id] = true
 			}
@@ -127,12 +132,12 @@
 		return changed
 	}
 	for _, e := range c.Events {
-		changed = i.applyKey(state, e) || changed
+		changed = i.applyKey(state, e, false) || changed
 	}
 	return changed
 }
 
-func (i *Instance) applyKey(state *topology.State, e kv.Event) bool {
+func (i *Instance) applyKey(state *topology.State, e kv.Event, listed bool) bool {
 	log := i.part("control").WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision})
 	decoder := i.platform.Decoder
 	if decoder.IsConfig(e.Key) && !e.Deleted {
@@ -161,7 +166,8 @@
 		log.WithError(err).Error("control: a member's entry cannot be read and is left out")
 		return false
 	}
-	if state.SetMember(m) {
+	m.Revision = e.Revision
+	if state.SetMember(i.now(), m, listed) {
 		log.WithFields(logrus.Fields{"member": id, "group": m.Group, "draining": m.Draining, "claims_primary": m.Primary}).
 			Info("control: a member's entry has changed")
 		return true
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -165,7 +165,7 @@
 // noticed within a time. A watch can be deaf: when the store forgets its history,
 // one that waits is told neither of changes nor of that. So each must end in time.
 func watchTime(silence time.Duration) time.Duration {
-	return max(minWatchTime, silence-watchSlack-watchMargin)
+	return min(max(minWatchTime, silence-watchSlack-watchMargin), lead.ConfirmEvery)
 }
 
 // watchOnce waits for changes after a revision. rest is for how long the follower
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -80,6 +80,11 @@
 	// that it has open here holds one of the few connections to a member meanwhile.
 	peerIdle    = 2 * time.Second
 	peerSilence = time.Second
+	// readyWithout is for how long an instance that hears neither of the store nor of
+	// most instances goes on to call itself ready. It serves on meanwhile, and
+	// callers that are sent elsewhere cost the others more than what it lacks costs
+	// these; an outage that lasts longer is no passing one.
+	readyWithout = lead.StorelessValidity / 2
 	// enforceDrain is how long open work may outlast a grant that ended without a
 	// release: the same as a planned change gives it.
 	enforceDrain = 500 * time.Millisecond
@@ -150,7 +155,7 @@
 		known:   make(chan struct{}),
 		conns:   peerconn.New(),
 	}
-	i.topology.Store(topology.New(memberGrace).Snapshot())
+	i.topology.Store(topology.New(memberGrace, departedMemory).Snapshot())
 	i.view.Store(lead.NewView())
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	var err error
@@ -250,7 +255,7 @@
 func (i *Instance) Ready() bool {
 	confirmed := time.Duration(max(i.heardAt.Load(), i.attestAt.Load()))
 	return !i.stopping.Load() && i.topology.Load().Version > 0 && i.registeredOnce.Load() &&
-		i.now()-confirmed < lead.GrantValidity
+		i.now()-confirmed < readyWithout
 }
 
 // informed reports whether the store was read.
--- a/internal/lead/attest.go
+++ b/internal/lead/attest.go
@@ -27,7 +27,7 @@
 			req.Known = append(req.Known, &leadpb.GroupRevision{Group: group, Revision: revision})
 		}
 	}
-	round := &attestation{needed: Quorum(len(registered)), answers: 1, news: make(map[string][]*leadpb.GroupNews)}
+	round := &attestation{needed: AttestQuorum(len(registered)), answers: 1, news: make(map[string][]*leadpb.GroupNews)}
 	sent := c.now()
 	c.askOthers(registered, func(_ Instance, client leadpb.CoordinationClient) error {
 		reply, err := client.Attest(ctx, req)
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -161,7 +161,10 @@
 	if record.Change == nil || record.Change.ID != change.ID {
 		return nil, fmt.Errorf("%w: its record is another now", errNotLeader)
 	}
-	cleared := c.clearGrants(ctx, group, revision, change, record)
+	if g.announced != change.ID {
+		g.announced, g.announcedAt = change.ID, c.now()
+	}
+	cleared := c.clearGrants(ctx, group, revision, change, record, g.announcedAt)
 	if !cleared.done && !cleared.stays {
 		return nil, errGrantsRemain
 	}
@@ -170,7 +173,7 @@
 		c.log.WithFields(logrus.Fields{"group": group, "member": record.Primary}).Info("lead: the primary is well again and stays")
 		return &outcome{record: record, revision: revision}, nil
 	}
-	candidate, found, err := c.choose(ctx, group, record, change, cleared.last.Received)
+	candidate, found, err := c.choose(ctx, group, record, change, cleared)
 	if err != nil {
 		return nil, err
 	}
@@ -212,13 +215,13 @@
 // choose returns the member that should lead: one that leads already in a newer
 // term, the old primary when it is well again, or the one whose log reaches
 // furthest among those in service.
-func (c *Controller) choose(ctx context.Context, name string, record Record, change Change, last group.Position) (topology.Member, member.Status, error) {
+func (c *Controller) choose(ctx context.Context, name string, record Record, change Change, cleared clearing) (topology.Member, member.Status, error) {
 	until := c.now() + catchUp
 	for {
 		members := c.around.Topology().ByGroup[name]
 		answers := c.askAll(ctx, members, record.Primary)
 		best, decided := Select(answers, Selection{
-			Old: record.Primary, Term: record.Term, Planned: change.Planned, Last: last,
+			Old: record.Primary, Term: record.Term, Planned: change.Planned, Last: cleared.last.Received, Unreached: cleared.unreached, KnownBefore: c.now() - verifiableLapsed,
 			Replicas: len(members) - 1, SyncReplicas: c.around.Topology().Groups[name].SyncReplicas,
 			Hurry: c.now() >= until,
 		})
--- a/internal/lead/gate.go
+++ b/internal/lead/gate.go
@@ -53,15 +53,35 @@
 	return p, nil
 }
 
-// Valid reports whether an answer of the primary may still be passed on. While
-// the grant is being released it may, since the release waits for the pass.
-func (p *Pass) Valid() bool {
+// Standing says whether an answer of the primary may be passed on.
+type Standing int
+
+// The standings of a pass.
+const (
+	Ended       Standing = iota // it may not: the work was broken off, or the grant is over
+	Unconfirmed                 // once the members have verified that nobody else leads
+	Confirmed                   // it may
+)
+
+// Standing returns what an answer that arrives now is worth. While the grant is
+// being released that does not change, since the release waits for the pass.
+func (p *Pass) Standing() Standing {
 	g := p.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !p.aborted && !g.grant.Lapsed(g.now())
+	switch now := g.now(); {
+	case p.aborted || g.grant.Over(now):
+		return Ended
+	case g.grant.Confirmed(now):
+		return Confirmed
+	}
+	return Unconfirmed
 }
 
+// Valid reports whether an answer of the primary may be passed on without being
+// verified.
+func (p *Pass) Valid() bool { return p.Standing() == Confirmed }
+
 // Done ends the work. It may be called more than once.
 func (p *Pass) Done() {
 	g := p.gate
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -9,21 +9,28 @@
 //     its term, and a change of primary that is under way. Every write of it
 //     depends on the revision that its writer saw.
 //   - An instance holds a grant for the primary of a record while it has seen that
-//     record, without a change under way, in an answer of the store to a call that
-//     it sent less than GrantValidity ago. While the store does not answer it, more
-//     than two thirds of the registered instances may attest instead that they
-//     know of nothing newer.
+//     record, without a change under way, in an answer of the store. The grant is
+//     confirmed for GrantValidity from when the call was sent. While the store does
+//     not answer, most of the registered instances may attest
+//     instead that they know of nothing newer.
+//   - An instance whose grant is not confirmed may still use the primary, but passes
+//     an answer on only after every other member of the group has told it, asked
+//     after the answer came, that it does not lead. Then nobody had been promoted
+//     when the statement ran. That needs no store, no other instance and no clock;
+//     it costs a question to each member, which statements share.
 //   - One instance leads the group. Only it changes the record, while its key on a
 //     lease is in the store. To change the primary it writes the change into the
 //     record, has every registered instance release its grant, or waits until the
-//     grant of one that cannot be reached has lapsed, and only then promotes. Once
-//     more than two thirds have released, nobody's grant can be attested any more,
-//     since any two such sets share an instance that would tell.
+//     grant of one that cannot be reached is not confirmed any more, and only then
+//     promotes: a member that such an instance knows of, and therefore asks. Once
+//     enough have released, nobody's grant can be attested any more: those that
+//     remain are no quorum.
 //
-// So traffic goes on while the store is away, an instance that is cut off alone
-// delays a change by no more than GrantValidity, and a lease that is lost, revoked
-// or refused costs no statement. The instances agree on nothing among themselves:
-// all that is decided lies in the store, and attestations only carry its news.
+// So traffic goes on while the store is away, an instance that is cut off or gone
+// for good delays a change by no more than GrantValidity and a second, and a lease
+// that is lost, revoked or refused costs no statement. The instances agree on
+// nothing among themselves: all that is decided lies in the store, and attestations
+// only carry its news.
 package lead
 
 import (
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -1,6 +1,10 @@
 package lead
 
-import "github.com/stackspindle/stackspindle/internal/group"
+import (
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+)
 
 // Selection is what decides who should lead.
 type Selection struct {
@@ -10,6 +14,8 @@
 	Last         group.Position // end of its log, when it stepped down; zero: not known
 	Replicas     int            // of the group
 	SyncReplicas int            // that had received each acknowledged commit
+	Unreached    bool           // some instances may still use the old primary; then only
+	KnownBefore  time.Duration  // a member may be promoted that has been known from before this time
 	Hurry        bool           // do not wait for a log to reach Last any longer
 }
 
@@ -18,7 +24,9 @@
 // promoted already. An old primary that leads still, and need not be replaced,
 // stays. Else the furthest log wins. One that leads in an earlier term, because it
 // has not heard of its successor, counts as a replica: it is returned as one that
-// does not lead, and must be promoted first.
+// does not lead, and must be promoted first. While instances that were not reached may
+// use the old primary, only a member that all of them know of, and therefore ask, can
+// be promoted.
 func Select(answers []found, s Selection) (found, bool) {
 	var best *found
 	replicas := 0
@@ -35,7 +43,7 @@
 			continue
 		}
 		replicas++
-		if best != nil && best.status.Primary || f.member.Draining {
+		if best != nil && best.status.Primary || f.member.Draining || s.Unreached && f.member.Since >= s.KnownBefore {
 			continue
 		}
 		if best == nil || best.status.Received.Less(f.status.Received) {
--- a/internal/lead/select_test.go
+++ b/internal/lead/select_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -23,6 +24,11 @@
 	return f
 }
 
+func since(f found, at time.Duration) found {
+	f.member.Since = at
+	return f
+}
+
 func TestSelect(t *testing.T) {
 	base := Selection{Old: "old", Term: 1, Replicas: 2}
 	planned := base
@@ -31,6 +37,8 @@
 	hurried.Hurry = true
 	synced := base
 	synced.SyncReplicas = 1
+	unreached := base
+	unreached.Unreached, unreached.KnownBefore = true, 8
 	second := Selection{Old: "gone", Term: 2, Replicas: 2}
 	inSecond := func(id string, index uint64) found {
 		f := replica(id, index)
@@ -42,22 +50,25 @@
 		s       Selection
 		want    string // "" for undecided
 	}{
-		"nobody answers":                          {nil, base, ""},
-		"the furthest log":                        {[]found{replica("a", 3), replica("b", 5)}, base, "b"},
-		"not one that drains":                     {[]found{replica("a", 3), draining(replica("b", 5))}, base, "a"},
-		"promoted already":                        {[]found{replica("a", 3), primary("b", 2)}, base, "b"},
-		"the newest of two that lead":             {[]found{primary("a", 2), primary("b", 3)}, base, "b"},
-		"the old primary is well":                 {[]found{replica("a", 3), primary("old", 1)}, base, "old"},
-		"the old primary drains":                  {[]found{replica("a", 3), draining(primary("old", 1))}, base, "a"},
-		"the old primary leads, but must go":      {[]found{replica("a", 9), primary("old", 1)}, planned, "a"},
-		"its log is awaited":                      {[]found{replica("a", 8), replica("old", 9)}, planned, ""},
-		"its log was awaited for long enough":     {[]found{replica("a", 8)}, hurried, "a"},
-		"one that stepped down may lead again":    {[]found{replica("a", 8), replica("old", 9)}, base, "old"},
-		"one that still leads in an earlier term": {[]found{primary("stale", 1), inSecond("a", 3)}, second, "a"},
-		"the same, whoever answers first":         {[]found{inSecond("a", 3), primary("stale", 1)}, second, "a"},
-		"the same, with nobody else":              {[]found{primary("stale", 1)}, second, "stale"},
-		"a silent replica may hold acknowledged":  {[]found{replica("a", 8)}, synced, ""},
-		"all replicas were asked":                 {[]found{replica("a", 8), replica("b", 7)}, synced, "a"},
+		"nobody answers":                           {nil, base, ""},
+		"the furthest log":                         {[]found{replica("a", 3), replica("b", 5)}, base, "b"},
+		"not one that drains":                      {[]found{replica("a", 3), draining(replica("b", 5))}, base, "a"},
+		"promoted already":                         {[]found{replica("a", 3), primary("b", 2)}, base, "b"},
+		"the newest of two that lead":              {[]found{primary("a", 2), primary("b", 3)}, base, "b"},
+		"the old primary is well":                  {[]found{replica("a", 3), primary("old", 1)}, base, "old"},
+		"the old primary drains":                   {[]found{replica("a", 3), draining(primary("old", 1))}, base, "a"},
+		"the old primary leads, but must go":       {[]found{replica("a", 9), primary("old", 1)}, planned, "a"},
+		"its log is awaited":                       {[]found{replica("a", 8), replica("old", 9)}, planned, ""},
+		"its log was awaited for long enough":      {[]found{replica("a", 8)}, hurried, "a"},
+		"one that stepped down may lead again":     {[]found{replica("a", 8), replica("old", 9)}, base, "old"},
+		"one that still leads in an earlier term":  {[]found{primary("stale", 1), inSecond("a", 3)}, second, "a"},
+		"the same, whoever answers first":          {[]found{inSecond("a", 3), primary("stale", 1)}, second, "a"},
+		"the same, with nobody else":               {[]found{primary("stale", 1)}, second, "stale"},
+		"an instance may not know of the furthest": {[]found{replica("a", 3), since(replica("b", 5), 9)}, unreached, "a"},
+		"none that all know of":                    {[]found{since(replica("a", 3), 8), since(replica("b", 5), 9)}, unreached, ""},
+		"a newcomer that leads already":            {[]found{replica("a", 3), since(primary("b", 2), 9)}, unreached, "b"},
+		"a silent replica may hold acknowledged":   {[]found{replica("a", 8)}, synced, ""},
+		"all replicas were asked":                  {[]found{replica("a", 8), replica("b", 7)}, synced, "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got, decided := Select(c.answers, c.s)
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -31,6 +31,8 @@
 	records    map[string]held[Record]   // by group
 	leaders    map[string]held[Leader]   // by group
 	leaderless map[string]time.Duration  // since when a group with a record has no leader
+	joined     map[string]time.Duration  // when a registered name was first seen
+	began      time.Duration             // when the first picture came; meaningful once joined is not empty
 }
 
 // NewView returns the view of an empty store.
@@ -42,6 +44,7 @@
 		records:    make(map[string]held[Record]),
 		leaders:    make(map[string]held[Leader]),
 		leaderless: make(map[string]time.Duration),
+		joined:     make(map[string]time.Duration),
 	}
 }
 
@@ -53,6 +56,8 @@
 		records:    maps.Clone(v.records),
 		leaders:    maps.Clone(v.leaders),
 		leaderless: maps.Clone(v.leaderless),
+		joined:     maps.Clone(v.joined),
+		began:      v.began,
 	}
 }
 
@@ -75,6 +80,7 @@
 func (v *View) Replace(now time.Duration, items []kv.Item) (*View, error) {
 	next := NewView()
 	next.missing, next.leaderless = maps.Clone(v.missing), maps.Clone(v.leaderless)
+	next.joined, next.began = maps.Clone(v.joined), v.began
 	var failed error
 	for _, item := range items {
 		if err := next.apply(kv.Event{Item: item}); err != nil {
@@ -120,6 +126,10 @@
 
 // note keeps account of since when something is missing.
 func (v *View) note(now time.Duration) {
+	if len(v.joined) == 0 {
+		v.began = now
+	}
+	noteSince(now, v.joined, v.instances, func(string) bool { return true })
 	noteSince(now, v.missing, v.instances, func(name string) bool { _, ok := v.alive[name]; return !ok })
 	noteSince(now, v.leaderless, v.records, func(group string) bool { _, ok := v.leaders[group]; return !ok })
 }
@@ -233,6 +243,26 @@
 	return registered
 }
 
+// youngShare is which share of the instances counts as having joined lately for one
+// that has not followed the store for long enough to know: one in five. All that are
+// registered may just have started together, and know of one another then.
+const youngShare = 5
+
+// Joined returns how many of the registered instances another one, which has not heard
+// of the store for as long as attestations can stand in for it, may not know of.
+func (v *View) Joined(now time.Duration) int {
+	if now-v.began < storelessLapsed {
+		return len(v.joined) / youngShare
+	}
+	lately := 0
+	for _, at := range v.joined {
+		if now-at < storelessLapsed {
+			lately++
+		}
+	}
+	return lately
+}
+
 // MissingSince returns since when the process of an entry has not been alive.
 func (v *View) MissingSince(e Entry) (time.Duration, bool) {
 	since, missing := v.missing[e.Name]
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -250,25 +250,41 @@
 		a.why = err.Error()
 		return statement.Answer{}, noRoom
 	}
+	if !a.mayWrite(pass) {
+		pass.Done()
+		a.why = "the grant is not confirmed, and the members do not verify it"
+		return statement.Answer{}, noRoom
+	}
 	up := a.s.relay.upstreams.get(pass.Primary)
 	if up == nil {
 		pass.Done()
 		a.why = "the primary's entry is gone"
 		return statement.Answer{}, noRoom
 	}
-	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker}, waitUntil, a.deadline)
+	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker, confirmed: pass.Standing() == lead.Confirmed}, waitUntil, a.deadline)
 	if a.s.tx == nil || a.s.tx.pass != pass {
 		pass.Done()
 	}
 	return answer, out
 }
 
+// mayWrite reports whether work that may write can be sent to the primary: the
+// grant is confirmed, or the members could verify it a moment ago.
+func (a *attempt) mayWrite(pass *lead.Pass) bool {
+	return a.reads || pass.Standing() == lead.Confirmed || a.group.verifiedLately(a.now()) ||
+		a.s.relay.verify(a.group, pass.Authority)
+}
+
 // target is a member that is to run a statement.
 type target struct {
 	up      *upstream
 	pass    *lead.Pass     // for the primary; nil: a replica
 	breaker *breaker       // with a pass only
 	after   group.Position // that its log must hold; zero: any
+
+	// confirmed says that the pass's grant was when the statement was sent: a read is
+	// then of the right log, however long its answer takes.
+	confirmed bool
 }
 
 // tryAt has one member run the statement. A connection is waited for until
@@ -317,7 +333,7 @@
 	if a.mayRunAgain(answer) {
 		return a.failedAt(up, held, answer)
 	}
-	return a.settle(up, held, t.pass, answer)
+	return a.settle(t, held, answer)
 }
 
 // noteNoRoom records why no connection could be had.
@@ -372,20 +388,27 @@
 }
 
 // settle passes an answer on. A transaction keeps its connection.
-func (a *attempt) settle(up *upstream, held *hold, pass *lead.Pass, answer statement.Answer) (statement.Answer, outcome) {
+func (a *attempt) settle(t target, held *hold, answer statement.Answer) (statement.Answer, outcome) {
+	pass := t.pass
 	if answer.State != statement.Idle {
 		held.lease.Park()
-		a.s.tx = &transaction{up: up, held: held, pass: pass, group: a.group, route: a.route}
+		a.s.tx = &transaction{up: t.up, held: held, pass: pass, group: a.group, route: a.route}
 		return answer, served
 	}
 	held.release()
-	if a.reads || answer.Err != nil {
+	if answer.Err != nil || a.reads && (pass == nil || t.confirmed) {
 		return answer, served
 	}
-	if !pass.Valid() {
-		a.why = "the primary was replaced before the write could be acknowledged"
+	if !a.s.relay.stands(a.group, pass) {
+		a.why = "the primary may have been replaced before the answer could be passed on"
+		if a.reads {
+			return statement.Answer{}, notRun
+		}
 		return statement.Answer{}, unknown
 	}
+	if a.reads {
+		return answer, served
+	}
 	a.s.floor = group.Max(a.s.floor, answer.Position)
 	return answer, served
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -172,9 +172,9 @@
 		tx.wrote = true
 	}
 	if answer.State != statement.Idle {
-		return answer
+		return s.settleRead(st, answer)
 	}
-	valid := tx.pass == nil || tx.pass.Valid()
+	valid := st.Kind != statement.Commit || !tx.wrote || s.relay.stands(tx.group, tx.pass)
 	s.endTx()
 	if st.Kind != statement.Commit || answer.Err != nil {
 		return answer
@@ -188,6 +188,17 @@
 	return answer
 }
 
+// settleRead passes the answer to a statement inside a transaction on. What was read
+// from a primary whose grant is not confirmed is verified first.
+func (s *session) settleRead(st statement.Statement, answer statement.Answer) statement.Answer {
+	tx := s.tx
+	if tx.pass == nil || answer.Err != nil || !s.reads(st) || s.relay.stands(tx.group, tx.pass) {
+		return answer
+	}
+	s.endTx()
+	return statement.Failure(statement.Idle, statement.Aborted, "the primary may have been replaced before what was read could be passed on")
+}
+
 // loseTx ends a transaction whose connection cannot be used any more.
 func (s *session) loseTx(st statement.Statement, cause error, sent bool) statement.Answer {
 	tx := s.tx
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -73,9 +73,12 @@
 
 // groupState is what the instance has seen of one group.
 type groupState struct {
-	mu      sync.Mutex // guards samples and term
-	term    uint64
-	samples *routing.Samples
+	name string
+
+	mu       sync.Mutex // guards the rest
+	term     uint64
+	samples  *routing.Samples
+	verifier verifier
 }
 
 // Upstreams holds the members of all groups. It is safe for concurrent use.
@@ -172,7 +175,7 @@
 	defer u.mu.Unlock()
 	g := u.groups[name]
 	if g == nil {
-		g = &groupState{samples: routing.NewSamples(sampleCount, sampleSpacing)}
+		g = &groupState{name: name, samples: routing.NewSamples(sampleCount, sampleSpacing)}
 		u.groups[name] = g
 	}
 	return g
--- /dev/null
+++ b/internal/relay/verify.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/pool"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// Settings of the verification of a grant that is not confirmed.
+const (
+	// verifyTimeout bounds one round of questions. A member may have a queue of
+	// statements before the question; one that takes longer is of no use to callers
+	// who wait for an answer already.
+	verifyTimeout = 250 * time.Millisecond
+	// verifiedFor is for how long after a round that succeeded a write is sent before
+	// it is verified. Its answer is verified in any case; that the members answer at
+	// all is known by then, so that few writes end with an outcome that is not known.
+	verifiedFor = 500 * time.Millisecond
+)
+
+// round is a round of questions to the members of a group, shared by all who wait
+// for one that begins after they asked.
+type round struct {
+	done chan struct{} // closed at the end
+	ok   bool          // valid once done is closed
+}
+
+// verifier verifies that no other member leads a group. The group's mu guards it.
+type verifier struct {
+	running bool
+	next    *round        // begins when the running one ends; nil: nobody waits
+	okAt    time.Duration // when the last round that succeeded ended; 0: none did
+}
+
+// ownQuestions is the queue of questions that the instance itself asks members.
+const ownQuestions = "own"
+
+// errGone says that nothing is known of a member.
+var errGone = errors.New("the member's entry is gone")
+
+// stands reports whether an answer of the primary may be passed on. Where the grant
+// is not confirmed the members are asked.
+func (r *Relay) stands(g *groupState, pass *lead.Pass) bool {
+	switch pass.Standing() {
+	case lead.Confirmed:
+		return true
+	case lead.Unconfirmed:
+		return r.verify(g, pass.Authority)
+	}
+	return false
+}
+
+// verify reports whether no other member led the group in a newer term at some
+// moment after the call. It asks every member that this instance knows of but the
+// primary; one that does not answer might lead.
+func (r *Relay) verify(g *groupState, a lead.Authority) bool {
+	g.mu.Lock()
+	wanted := g.verifier.next
+	if wanted == nil {
+		wanted = &round{done: make(chan struct{})}
+		g.verifier.next = wanted
+	}
+	if !g.verifier.running {
+		g.verifier.running = true
+		go r.runRounds(g, a)
+	}
+	g.mu.Unlock()
+	<-wanted.done
+	return wanted.ok
+}
+
+// runRounds runs rounds, one after another, while somebody waits for one.
+func (r *Relay) runRounds(g *groupState, a lead.Authority) {
+	for {
+		g.mu.Lock()
+		current := g.verifier.next
+		g.verifier.next = nil
+		if current == nil {
+			g.verifier.running = false
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+		current.ok = r.noneLeads(a, g.name)
+		g.mu.Lock()
+		if current.ok {
+			g.verifier.okAt = r.now()
+		}
+		g.mu.Unlock()
+		close(current.done)
+	}
+}
+
+// verifiedLately reports whether a round has succeeded a moment ago.
+func (g *groupState) verifiedLately(now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.verifier.okAt > 0 && now-g.verifier.okAt < verifiedFor
+}
+
+// noneLeads asks all members but the primary at once.
+func (r *Relay) noneLeads(a lead.Authority, group string) bool {
+	snap := r.snapshot()
+	if len(snap.Departed[group]) > 0 {
+		return false // one of them may have come back and been promoted, and cannot be asked
+	}
+	var others []topology.Member
+	for _, m := range snap.ByGroup[group] {
+		if m.ID != a.Primary {
+			others = append(others, m)
+		}
+	}
+	replies := make(chan bool, len(others))
+	for _, m := range others {
+		go func() { replies <- r.follows(m, a) }()
+	}
+	ok := true
+	for range others {
+		ok = <-replies && ok
+	}
+	return ok
+}
+
+// follows reports whether a member says that it does not lead, in the term of an
+// authority or before.
+func (r *Relay) follows(m topology.Member, a lead.Authority) bool {
+	log := func() *logrus.Entry {
+		return r.log.WithFields(logrus.Fields{"group": m.Group, "member": m.ID, "primary": a.Primary, "term": a.Term, "record": a.Revision})
+	}
+	status, err := r.upstreams.status(m.ID, verifyTimeout)
+	switch {
+	case err != nil:
+		if leftOut, ok := r.limiter.Allow("verify" + m.ID); ok {
+			log().WithError(err).WithField("left_out", leftOut).Info("relay: the grant is not confirmed, and a member that might lead does not answer")
+		}
+		return false
+	case status.Primary || status.Term > a.Term:
+		if leftOut, ok := r.limiter.Allow("verify" + m.ID); ok {
+			log().WithFields(logrus.Fields{"leads": status.Primary, "its_term": status.Term, "left_out": leftOut}).
+				Info("relay: the grant is not confirmed, and a member leads in a newer term")
+		}
+		return false
+	}
+	return true
+}
+
+// status asks a member about itself on a connection of the pool.
+func (u *Upstreams) status(id string, timeout time.Duration) (member.Status, error) {
+	up := u.get(id)
+	if up == nil {
+		return member.Status{}, errGone
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	asked := u.now()
+	lease, err := up.pool.Acquire(ctx, pool.Request{Service: ownQuestions, Weight: weightOfFirst, Deadline: asked + timeout}, nil)
+	if err != nil {
+		return member.Status{}, err
+	}
+	defer lease.Release()
+	deadline, _ := ctx.Deadline()
+	status, err := lease.Conn.Status(deadline)
+	if err == nil {
+		up.noteAnswer(u.now(), u.now(), status.Received)
+	}
+	return status, err
+}
--- /dev/null
+++ b/internal/relay/verify_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
+	"github.com/stackspindle/stackspindle/internal/statement"
+)
+
+// newUnconfirmedBench returns a bench whose instance has not heard of the store for
+// longer than its grant is confirmed.
+func newUnconfirmedBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.relay.started = b.relay.started.Add(-2 * lead.GrantValidity)
+	_, err := b.gate.Authority()
+	must.NoError(t, err)
+	return b
+}
+
+func TestUnconfirmedGrantIsVerifiedByTheMembers(t *testing.T) {
+	b := newUnconfirmedBench(t)
+	s := newSession(b.relay, "strict")
+	must.Nil(t, b.run(s, statement.Write, "WRITE 1 x").Err)
+	must.Nil(t, b.run(s, statement.Read, "READ 1").Err)
+	must.Nil(t, b.run(s, statement.Begin, "BEGIN").Err)
+	must.Nil(t, b.run(s, statement.Read, "READ 1").Err)
+	must.Nil(t, b.run(s, statement.Write, "WRITE 2 x").Err)
+	must.Nil(t, b.run(s, statement.Commit, "COMMIT").Err)
+	must.Len(t, 2, b.group.Log())
+}
+
+// A member that does not answer might lead: nothing is sent that could not be
+// acknowledged then.
+func TestUnconfirmedGrantNeedsEveryMember(t *testing.T) {
+	b := newUnconfirmedBench(t)
+	b.group.SetReach("m2", membergroup.Dead)
+	s := newSession(b.relay, "hurried")
+	a := b.run(s, statement.Write, "WRITE 1 x")
+	must.Eq(t, statement.Busy, a.Err.Code)
+	must.SliceEmpty(t, b.group.Log())
+	must.NotNil(t, b.run(s, statement.Read, "READ 1").Err)
+}
+
+// What the old primary says after another member was promoted is not passed on.
+func TestUnconfirmedGrantAfterAPromotion(t *testing.T) {
+	b := newUnconfirmedBench(t)
+	s := newSession(b.relay, "hurried")
+	must.Nil(t, b.run(s, statement.Write, "WRITE 1 x").Err)
+	b.group.SetReach("m1", membergroup.Silent) // cut off, so that it does not hear of its successor
+	must.NoError(t, b.group.Promote(t.Context(), "g", "m2", "other", 2))
+	b.group.SetReach("m1", membergroup.Open)
+	must.Eq(t, statement.Unknown, b.run(s, statement.Write, "WRITE 2 x").Err.Code, must.Sprint("the members verified the grant a moment ago"))
+	must.NotNil(t, b.run(s, statement.Read, "READ 1").Err)
+}
+
+// Answers that wait for a round share the next one.
+func TestVerificationBeginsAfterTheAnswer(t *testing.T) {
+	b := newUnconfirmedBench(t)
+	g := b.relay.upstreams.group("g")
+	a, err := b.gate.Authority()
+	must.NoError(t, err)
+	must.True(t, b.relay.verify(g, a))
+	must.True(t, g.verifiedLately(b.relay.now()))
+	must.False(t, g.verifiedLately(b.relay.now()+time.Minute))
+	must.NoError(t, b.group.Promote(t.Context(), "g", "m2", "other", 2))
+	must.False(t, b.relay.verify(g, a))
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -56,6 +56,9 @@
 	Draining   bool // it leaves: no new work
 	Primary    bool // it believes that it leads
 	Slots      int  // statements that it runs at once
+
+	Revision int64         // of the entry's last change in the store
+	Since    time.Duration // from when on the entry has been there without a gap
 }
 
 // Snapshot is the picture at one moment. It is not changed after it was made.
@@ -66,6 +69,10 @@
 	Groups    map[string]Group
 	Members   map[string]Member   // by ID, those that lapsed a moment ago included
 	ByGroup   map[string][]Member // by ID in order
+
+	// Departed are members whose entries vanished so lately that they may have been
+	// back in the store since this instance last heard of it, by group.
+	Departed map[string][]Member
 }
 
 // State collects changes. It is not safe for concurrent use.
@@ -74,12 +81,24 @@
 	config  Config
 	members map[string]Member
 	lapsed  map[string]time.Duration // when the entry vanished, by ID
+	memory  time.Duration
+	gone    map[string]departed // forgotten members, by ID
+}
+
+// departed is a member that is not used any more.
+type departed struct {
+	Member
+	at time.Duration // when its entry vanished
 }
 
 // New returns an empty picture. A member whose entry has vanished is still used
-// for grace, since entries also vanish while the store is away.
-func New(grace time.Duration) *State {
-	return &State{grace: grace, members: make(map[string]Member), lapsed: make(map[string]time.Duration)}
+// for grace, since entries also vanish while the store is away, and counts as departed
+// for the rest of memory.
+func New(grace, memory time.Duration) *State {
+	return &State{
+		grace: grace, memory: memory,
+		members: make(map[string]Member), lapsed: make(map[string]time.Duration), gone: make(map[string]departed),
+	}
 }
 
 // SetConfig takes in a configuration. An older one than in force is left out,
@@ -92,12 +111,18 @@
 	return true
 }
 
-// SetMember takes in a member's entry, and reports whether it says anything new.
-func (s *State) SetMember(m Member) bool {
+// SetMember takes in a member's entry, and reports whether it says anything new. Where
+// the store was listed anew, an entry that has changed may have been gone meanwhile.
+func (s *State) SetMember(now time.Duration, m Member, listed bool) bool {
 	_, lapsed := s.lapsed[m.ID]
-	changed := lapsed || s.members[m.ID] != m
+	known, ok := s.members[m.ID]
+	if m.Since = known.Since; !ok || lapsed || listed && known.Revision != m.Revision {
+		m.Since = now
+	}
+	changed := lapsed || known != m
 	s.members[m.ID] = m
 	delete(s.lapsed, m.ID)
+	delete(s.gone, m.ID)
 	return changed
 }
 
@@ -126,11 +151,18 @@
 	changed := false
 	for id, since := range s.lapsed {
 		if now-since >= s.grace {
+			s.gone[id] = departed{Member: s.members[id], at: since}
 			delete(s.members, id)
 			delete(s.lapsed, id)
 			changed = true
 		}
 	}
+	for id, m := range s.gone {
+		if now-m.at >= s.memory {
+			delete(s.gone, id)
+			changed = true
+		}
+	}
 	return changed
 }
 
@@ -143,6 +175,7 @@
 		Groups:    make(map[string]Group, len(s.config.Groups)),
 		Members:   make(map[string]Member, len(s.members)),
 		ByGroup:   make(map[string][]Member),
+		Departed:  make(map[string][]Member),
 	}
 	for _, r := range s.config.Routes {
 		snap.Databases[r.Database] = r
@@ -154,6 +187,9 @@
 		snap.Members[id] = m
 		snap.ByGroup[m.Group] = append(snap.ByGroup[m.Group], m)
 	}
+	for _, m := range s.gone {
+		snap.Departed[m.Group] = append(snap.Departed[m.Group], m.Member)
+	}
 	for _, members := range snap.ByGroup {
 		slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	}
