Pacing: an instance sends a full member less, by response times

Cause: with replicas that lag by more than routes allow, one primary's 2 slots get 1.8 times the work that they can run.

Change: internal/pacing learns per kind of route what a statement usually takes, and narrows the share of the time in which an instance has one running there while answers take 2.5 times that. What is of the highest priority is not held. Statements of transactions are not counted.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -135,6 +135,18 @@
 	p.pass(p.now())
 }
 
+// Pause holds requests of a level of importance and above for a while.
+func (p *Pool[C]) Pause(level int, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.Pause(level, p.now()+d)
+	time.AfterFunc(d, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pass(p.now())
+	})
+}
+
 // InUse returns how many connections are leased.
 func (p *Pool[C]) InUse() int {
 	p.mu.Lock()
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -140,3 +140,18 @@
 		must.Zero(t, p.InUse())
 	}
 }
+
+// What a pause holds is granted when it is over, without anything else happening.
+func TestPauseEndsByItself(t *testing.T) {
+	p, clock := newPool(&dialer{limit: 1}, never)
+	const pause = time.Millisecond
+	p.Pause(0, pause)
+	granted := make(chan *Lease[*fakeConn])
+	go func() { granted <- acquire(t, p) }()
+	for p.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Store(int64(pause))
+	p.Pause(1, 0) // its timer, like that of the first, looks again
+	(<-granted).Release()
+}
--- /dev/null
+++ b/internal/pacing/pacing_test.go
@@ -0,0 +1,87 @@
+package pacing
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true", "rapid.checks": "500"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+const usual = 10 * time.Millisecond
+
+func answered(w *Window, n int, took time.Duration) (pause time.Duration) {
+	for range n {
+		pause = w.Answered(took, usual)
+	}
+	return pause
+}
+
+func TestWindowFollowsTheMember(t *testing.T) {
+	var w Window
+	must.Eq(t, 0, answered(&w, 100, usual))
+	must.Eq(t, 1, w.Share())
+	must.Positive(t, answered(&w, 100, 5*usual), must.Sprint("the member is full"))
+	must.Less(t, 0.2, w.Share())
+	must.Eq(t, 0, answered(&w, 200, usual))
+	must.Eq(t, 1, w.Share())
+}
+
+func TestWindowWithoutAnythingUsual(t *testing.T) {
+	var w Window
+	must.Eq(t, 0, w.Answered(time.Hour, 0))
+	must.Eq(t, 1, w.Share())
+}
+
+// Whatever a member does, an instance goes on asking it, and pauses for no longer than
+// its least share says.
+func TestWindowKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w Window
+		for range rapid.IntRange(1, 200).Draw(t, "answers") {
+			took := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "took"))
+			pause := w.Answered(took, time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "usual")))
+			if w.Share() < leastShare || w.Share() > 1 {
+				t.Fatalf("share %f", w.Share())
+			}
+			if pause < 0 || pause > time.Duration(float64(took)*(1/leastShare-1))+1 {
+				t.Fatalf("a pause of %s after %s", pause, took)
+			}
+		}
+	})
+}
+
+func TestUsualIsWhatItTakesUndisturbed(t *testing.T) {
+	var w Work
+	took := func(n int, d time.Duration) {
+		for range n {
+			w.Took(d)
+		}
+	}
+	took(usualSpan-1, usual)
+	must.Eq(t, 0, w.Usual(), must.Sprint("too little is known"))
+	took(1, usual)
+	must.Eq(t, usual, w.Usual())
+	took(10*usualSpan, 5*usual)
+	must.Less(t, usual+usual/8, w.Usual(), must.Sprint("a full member does not become usual at once"))
+	took(usualSpan, usual/2)
+	must.Eq(t, usual/2, w.Usual())
+	took(1000*usualSpan, 3*usual)
+	must.Eq(t, 3*usual, w.Usual().Round(usual), must.Sprint("the work has become heavier"))
+}
+
+func TestLevel(t *testing.T) {
+	must.Eq(t, 2, Level(1, 1, 2), must.Sprint("the highest priority is not held"))
+	must.Eq(t, 2, Level(2, 1, 2))
+	must.Eq(t, 3, Level(3, 1, 4), must.Sprint("what is less important does not hold what is more"))
+	must.Eq(t, 1, Level(1, 1, 1), must.Sprint("all are of one priority"))
+}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -29,6 +29,7 @@
 type Request struct {
 	ID       uint64
 	Service  string
+	Level    int           // of importance; a pause holds requests of its level and above
 	Weight   int           // share of the service under contention, at least 1
 	Limit    int           // connections the service may use at once, 0: no bound
 	Write    bool          // may use the reserve
@@ -62,13 +63,15 @@
 	parked   int // of these, connections whose holder has nothing running
 	reads    int
 	waiting  int
-	clock    float64       // virtual time of the last grant
-	average  time.Duration // moving average of how long a connection is held
+	pauses   map[int]time.Duration // until when requests of a level are held
+	now      time.Duration         // at the last call that told
+	clock    float64               // virtual time of the last grant
+	average  time.Duration         // moving average of how long a connection is held
 }
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, services: make(map[string]*service)}
+	return &Queue{cfg: cfg, services: make(map[string]*service), pauses: make(map[int]time.Duration)}
 }
 
 // SetCapacity changes the number of connections. Those in use stay in use.
@@ -77,6 +80,22 @@
 // SetMaxActive changes the bound of the connections in use but for parked ones.
 func (q *Queue) SetMaxActive(n int) { q.cfg.MaxActive = n }
 
+// Pause holds requests of a level of importance and above until a time. Those that
+// wait are granted by the first call of Next after it.
+func (q *Queue) Pause(level int, until time.Duration) {
+	q.pauses[level] = max(q.pauses[level], until)
+}
+
+// held reports whether a pause holds requests of a level.
+func (q *Queue) held(level int) bool {
+	for l, until := range q.pauses {
+		if l <= level && q.now < until {
+			return true
+		}
+	}
+	return false
+}
+
 // Park notes that a granted connection runs nothing for a while, as one that is
 // held by a transaction. It counts on within the capacity.
 func (q *Queue) Park() { q.parked++ }
@@ -112,6 +131,7 @@
 
 // Offer takes in a request. A queued one is granted or expired by Next.
 func (q *Queue) Offer(now time.Duration, r Request) Outcome {
+	q.now = now
 	s := q.service(r.Service)
 	defer q.forget(r.Service, s)
 	if s.waiting.Len() == 0 && q.admissible(s, r) {
@@ -154,7 +174,7 @@
 	if q.inUse >= q.cfg.Capacity || q.cfg.MaxActive > 0 && q.inUse-q.parked >= q.cfg.MaxActive {
 		return false
 	}
-	if r.Limit > 0 && s.inUse >= r.Limit {
+	if r.Limit > 0 && s.inUse >= r.Limit || q.held(r.Level) {
 		return false
 	}
 	return r.Write || q.reads < q.cfg.Capacity-q.cfg.WriteReserve
@@ -191,6 +211,7 @@
 // Next grants what there is room for, in fair order, and gives up on requests
 // whose deadline has passed.
 func (q *Queue) Next(now time.Duration) (granted, expired []Request) {
+	q.now = now
 	expired = q.expire(now)
 	for {
 		name, s := q.dueService()
--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -212,3 +212,20 @@
 		must.Eq(t, TooLate, q.Offer(0, Request{ID: 4, Service: "s", Deadline: 0}), must.Sprint("no time to wait at all"))
 	}
 }
+
+// A pause holds what is of its level and above until it is over, and nothing else.
+func TestPauseHoldsItsLevel(t *testing.T) {
+	q := New(Config{Capacity: 4, MaxQueue: 4, Patient: true})
+	request := func(id uint64, level int) Request {
+		return Request{ID: id, Service: fmt.Sprint(level), Level: level, Deadline: time.Hour}
+	}
+	must.Eq(t, Granted, q.Offer(0, request(1, 2)))
+	q.Pause(2, 10)
+	must.Eq(t, Granted, q.Offer(1, request(2, 1)))
+	must.Eq(t, Queued, q.Offer(2, request(3, 2)))
+	must.Eq(t, Queued, q.Offer(2, request(4, 3)))
+	granted, _ := q.Next(9)
+	must.SliceEmpty(t, granted)
+	granted, _ = q.Next(10)
+	must.Len(t, 2, granted)
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -295,6 +295,7 @@
 	lease, err := up.pool.Acquire(ctx, pool.Request{
 		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
 		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
+		Level:    a.route.Priority,
 		Write:    !a.reads,
 		Deadline: max(waitUntil, a.now()),
 	}, func(c *member.Shared) int { return c.Match(a.s.values) })
@@ -323,7 +324,11 @@
 		up.noteMiss(a.now())
 		return a.lostAnswer(up, t.breaker.cause(err))
 	}
+	took := a.now() - asked
 	relay.noteAnswer(up, a.group, t.pass, asked, answer)
+	if answer.Err == nil && answer.State == statement.Idle {
+		relay.pace(up, a.group, a.route, took)
+	}
 	if answer.Err != nil && answer.Err.Code.NotRun() && answer.Err.Code != statement.Malformed {
 		// One that has no room could run it; one that lags or does not lead could not.
 		a.offered = a.offered || answer.Err.Code == statement.Busy
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/pacing"
 	"github.com/stackspindle/stackspindle/internal/pool"
 	"github.com/stackspindle/stackspindle/internal/routing"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -60,6 +62,7 @@
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
 	recent   tally
+	window   pacing.Window
 }
 
 // tally is what came of the attempts at a member since the last report.
@@ -79,6 +82,7 @@
 	term     uint64
 	samples  *routing.Samples
 	verifier verifier
+	works    map[workKind]*pacing.Work
 }
 
 // Upstreams holds the members of all groups. It is safe for concurrent use.
@@ -175,7 +179,7 @@
 	defer u.mu.Unlock()
 	g := u.groups[name]
 	if g == nil {
-		g = &groupState{name: name, samples: routing.NewSamples(sampleCount, sampleSpacing)}
+		g = &groupState{name: name, works: make(map[workKind]*pacing.Work), samples: routing.NewSamples(sampleCount, sampleSpacing)}
 		u.groups[name] = g
 	}
 	return g
@@ -217,7 +221,7 @@
 	defer u.mu.Unlock()
 	for id, up := range u.members {
 		up.mu.Lock()
-		recent, behind := up.recent, up.behind
+		recent, behind, share := up.recent, up.behind, up.window.Share()
 		up.recent = tally{}
 		up.mu.Unlock()
 		if recent == (tally{}) {
@@ -227,7 +231,7 @@
 			"group": up.group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
-			"connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
+			"share": math.Round(100*share) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
 		}).Info("relay: a member since the last report")
 	}
 }
--- /dev/null
+++ b/internal/relay/work.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/pacing"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// workKind names statements that are expected to take about the same time: those of
+// routes that declare the same. They share what is learned, so that a route which is
+// new or little used is known at once.
+type workKind struct {
+	consistency topology.Consistency
+	staleness   time.Duration
+	objective   time.Duration
+	priority    int
+}
+
+func kindOf(route topology.Route) workKind {
+	return workKind{consistency: route.Consistency, staleness: route.MaxStaleness, objective: route.LatencyObjective, priority: route.Priority}
+}
+
+// took notes how long a member took for a statement of a kind, and returns what that
+// usually takes, 0 while it is not known.
+func (g *groupState) took(kind workKind, d time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.works[kind]
+	if w == nil {
+		w = &pacing.Work{}
+		g.works[kind] = w
+	}
+	w.Took(d)
+	return w.Usual()
+}
+
+// pace takes in how long a member took for a statement that does not belong to a
+// transaction, and holds further ones back for as long as the member seems to have
+// more than it can run. With a member that has twice the work that it can run, a tenth
+// more is served in time. Statements of transactions are neither held nor counted: what
+// they wait for has begun already, and counting them paces members that are only busy.
+func (r *Relay) pace(up *upstream, g *groupState, route topology.Route, took time.Duration) {
+	usual := g.took(kindOf(route), took)
+	up.mu.Lock()
+	pause := up.window.Answered(took, usual)
+	up.mu.Unlock()
+	if pause > 0 {
+		span := r.snapshot().Priorities[g.name]
+		up.pool.Pause(pacing.Level(route.Priority, span.Top, span.Last), pause)
+	}
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -70,11 +70,16 @@
 	Members   map[string]Member   // by ID, those that lapsed a moment ago included
 	ByGroup   map[string][]Member // by ID in order
 
+	Priorities map[string]Priorities // of the routes, by group
+
 	// Departed are members whose entries vanished so lately that they may have been
 	// back in the store since this instance last heard of it, by group.
 	Departed map[string][]Member
 }
 
+// Priorities is the span of some routes' priorities.
+type Priorities struct{ Top, Last int }
+
 // State collects changes. It is not safe for concurrent use.
 type State struct {
 	grace   time.Duration
@@ -176,9 +181,16 @@
 		Members:   make(map[string]Member, len(s.members)),
 		ByGroup:   make(map[string][]Member),
 		Departed:  make(map[string][]Member),
+
+		Priorities: make(map[string]Priorities),
 	}
 	for _, r := range s.config.Routes {
 		snap.Databases[r.Database] = r
+		p, ok := snap.Priorities[r.Group]
+		if !ok {
+			p = Priorities{Top: r.Priority, Last: r.Priority}
+		}
+		snap.Priorities[r.Group] = Priorities{Top: min(p.Top, r.Priority), Last: max(p.Last, r.Priority)}
 	}
 	for _, g := range s.config.Groups {
 		snap.Groups[g.Name] = g
