Failed requests are named in the logs, a line a second for each cause

Cause: lines of statements that did not succeed were limited to 4 a second of a kind; of 9 IDs of failed requests none was found.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -30,6 +30,7 @@
 	Part     string
 	Message  string
 	Request  string
+	Requests []string // all that the line tells of, where it tells of several
 	Group    string
 	Fields   map[string]any // all others
 }
@@ -69,6 +70,7 @@
 	}
 	line.Instance, line.Part, line.Message = take("instance"), take("part"), take("msg")
 	line.Request, line.Group = take("request"), take("group")
+	line.Requests = strings.Fields(take("requests"))
 	delete(fields, "level")
 	var err error
 	if line.Time, err = time.Parse(time.RFC3339, take("time")); err != nil || line.Message == "" {
@@ -77,6 +79,11 @@
 	return line, true
 }
 
+// names reports whether a line tells of a request.
+func (l Line) names(request string) bool {
+	return l.Request == request || slices.Contains(l.Requests, request)
+}
+
 // Explanation is what is known of a request.
 type Explanation struct {
 	Request []Line // those that name it, by time
@@ -88,7 +95,7 @@
 func Explain(lines []Line, request string) Explanation {
 	var e Explanation
 	for _, l := range lines {
-		if l.Request == request {
+		if l.names(request) {
 			e.Request = append(e.Request, l)
 		}
 	}
@@ -99,7 +106,7 @@
 	}
 	from, until := e.Request[0].Time.Add(-Before), e.Request[len(e.Request)-1].Time.Add(After)
 	for _, l := range lines {
-		if l.Request == "" && l.Time.After(from) && l.Time.Before(until) && e.concerns(l) {
+		if l.Request == "" && len(l.Requests) == 0 && l.Time.After(from) && l.Time.Before(until) && e.concerns(l) {
 			e.Group = append(e.Group, l)
 		}
 	}
@@ -120,7 +127,7 @@
 // Write prints an explanation.
 func (e Explanation) Write(w io.Writer) error {
 	if len(e.Request) == 0 {
-		_, err := fmt.Fprintln(w, "no line names the request: it was served (log_level = debug tells how), or its line was left out")
+		_, err := fmt.Fprintln(w, "no line names the request: it was served (log_level = debug tells how), its instance was killed before it could say, or the logs of its instance are not among these")
 		return err
 	}
 	out := bufio.NewWriter(w)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -14,6 +14,7 @@
 {"time":"2026-03-31T01:00:09.000Z","instance":"a","part":"timeline","group":"other","msg":"timeline: something else"}
 {"time":"2026-03-31T01:00:01.000Z","instance":"a","part":"timeline","group":"g","msg":"timeline: long before"}
 {"time":"2026-03-31T01:00:09.500Z","instance":"b","part":"follower","msg":"follower: the store does not answer"}
+{"time":"2026-03-31T01:00:11.000Z","instance":"b","part":"relay","group":"g","requests":"x3 x4","msg":"relay: requests that did not succeed","why":"full"}
 {"time":"2026-03-31T01:00:09.500Z","instance":"c","part":"follower","msg":"follower: on another instance"}
 `
 
@@ -30,6 +31,10 @@
 	must.NoError(t, e.Write(&out))
 	must.StrContains(t, out.String(), "01:00:10.500 b relay: a statement did not succeed outcome=busy")
 	out.Reset()
+	must.NoError(t, Explain(lines, "x4").Write(&out))
+	must.StrContains(t, out.String(), "01:00:11.000 b relay: requests that did not succeed why=full")
+	must.StrNotContains(t, out.String(), "x3", must.Sprint("others are left out"))
+	out.Reset()
 	must.NoError(t, Explain(lines, "unknown").Write(&out))
 	must.StrContains(t, out.String(), "no line names the request")
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -43,6 +43,7 @@
 		case <-i.ctx.Done():
 			return nil
 		}
+		i.relay.ReportFailures(false)
 		i.relay.Gates(func(_ string, g *lead.Gate) { g.Enforce(enforceDrain) })
 		if !i.stopping.Load() {
 			i.controller.Tick(i.ctx)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	log       *logrus.Entry
 	set       *metrics.Set
 	limiter   *logs.Limiter
+	failures  *failures
 
 	carriers     atomic.Pointer[map[string]Carriers] // by group
 	carrierConns *carrierConns
@@ -41,6 +42,7 @@
 	}
 	r.carrierConns = newCarrierConns(conns, r.now)
 	r.limiter = logs.NewLimiter(r.now)
+	r.failures = newFailures()
 	return r
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -187,10 +187,27 @@
 	c.setBusy(true)
 	answer := c.session.handle(st, arrived)
 	ok := c.reply(answer)
+	c.noteFailure(st, answer, ok)
 	c.setBusy(false)
 	return ok
 }
 
+// noteFailure remembers a request that did not succeed, or whose answer the caller
+// was not there to take.
+func (c *callerConn) noteFailure(st statement.Statement, answer statement.Answer, delivered bool) {
+	relay := c.server.relay
+	reason := cause{group: relay.snapshot().Databases[c.session.database].Group}
+	switch {
+	case answer.Err != nil:
+		reason.outcome, reason.why = answer.Err.Code.String(), answer.Err.Detail
+	case !delivered:
+		reason.outcome, reason.why = "undelivered", "it succeeded, and the caller's connection had ended"
+	default:
+		return
+	}
+	relay.failures.note(reason, st.ID)
+}
+
 func (c *callerConn) reply(a statement.Answer) bool { return c.caller.Answer(a) == nil }
 
 // await sets the bound of the wait for the next statement.
