Connections that go silent for good: one statement or call notices for all

Cause: when all open connections to a member or to the store go silent while new ones work, each idle one costs a statement or a call its whole timeout, one after another.

--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
+
+	"github.com/stackspindle/stackspindle/internal/socket"
 )
 
 // Settings of the connections.
@@ -22,8 +25,9 @@
 	maxBackoff     = 500 * time.Millisecond // of one that stays away
 	connectTimeout = 500 * time.Millisecond // links have delays of milliseconds
 	// linger is for how long a connection that was given up serves what is under way
-	// on it: longer than a statement may take (0.8 to 2 s on the sheets).
-	linger = 5 * time.Second
+	// on it. It is longer than operators let a statement take; a connection that
+	// lingers costs a descriptor.
+	linger = 30 * time.Second
 )
 
 // Conns holds the connections. It is safe for concurrent use.
@@ -48,6 +52,7 @@
 			Backoff:           backoff.Config{BaseDelay: connectBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff},
 			MinConnectTimeout: connectTimeout,
 		}),
+		grpc.WithContextDialer(dial),
 		grpc.WithUnaryInterceptor(c.renewSilent(address)),
 	)
 	if err != nil {
@@ -57,6 +62,12 @@
 	return conn, nil
 }
 
+// dial opens a connection on which bytes that are not acknowledged are noticed.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Control: socket.Options}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // renewSilent gives a connection up on which a call got no answer in time, although
 // it is established: it may have gone silent without a reset, while new ones work.
 // The next use opens another.
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -311,6 +311,7 @@
 	}
 	if err := lease.Conn.Prepare(a.s.values, a.needed); err != nil {
 		held.release()
+		up.noteBroken(err)
 		up.noteMiss(a.now())
 		a.why = err.Error()
 		return statement.Answer{}, noRoom
@@ -321,6 +322,7 @@
 	answer, err := lease.Conn.Run(request(a.st, a.needed, t.after, relay.wall(timeout)))
 	if err != nil {
 		held.release()
+		up.noteBroken(err)
 		up.noteMiss(a.now())
 		return a.lostAnswer(up, t.breaker.cause(err))
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -204,6 +204,7 @@
 	tx := s.tx
 	cause = tx.held.breaker.cause(cause)
 	s.relay.logLost(s, st, tx.up.id, cause)
+	tx.up.noteBroken(cause)
 	if sent && errors.Is(cause, member.ErrBroken) {
 		tx.up.noteMiss(s.relay.now())
 	}
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -286,6 +289,14 @@
 	up.recent.unheard++
 }
 
+// noteBroken closes the idle connections when one in use has gone silent: whatever
+// silenced it may have silenced them, and each would cost a statement its timeout.
+func (up *upstream) noteBroken(cause error) {
+	if errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, syscall.ETIMEDOUT) {
+		up.pool.DropIdle()
+	}
+}
+
 // noteProgress records where a replica's log ends.
 func (up *upstream) noteProgress(behind time.Duration, lagging bool, now time.Duration) {
 	up.mu.Lock()
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -120,6 +120,16 @@
 	}
 }
 
+// SilenceOpen lets nothing be heard any more on a member's open connections. New ones
+// work.
+func (g *Group) SilenceOpen(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.members[id].conns {
+		c.silent = true
+	}
+}
+
 // yieldAfter is for how long an old primary carries on once it can reach the new one.
 const yieldAfter = time.Second
 
@@ -312,6 +322,7 @@
 	group  *Group
 	member *memberState
 	closed bool
+	silent bool // nothing is heard on it any more, while new ones work
 	state  statement.State
 	writes []Write // of the open transaction
 	reads  bool    // the transaction only reads
@@ -327,7 +338,7 @@
 		c.group.mu.Unlock()
 		return fmt.Errorf("%w: closed", member.ErrBroken)
 	}
-	if c.member.reach == Silent {
+	if c.member.reach == Silent || c.silent {
 		c.group.mu.Unlock()
 		return silence(deadline)
 	}
