One watcher of the store a data centre; patience from what statements usually take

Change: one watcher for each data centre of fewer than 32 instances. A statement counts as stuck, and a read is given elsewhere, after 8 times what its kind usually takes instead of 120 and 150 ms. Comments say why a value serves any deployment.

--- a/internal/feed/sources.go
+++ b/internal/feed/sources.go
@@ -10,9 +10,10 @@
 // Settings of the choice of a source.
 const (
 	// minWatchers is how many instances of a data centre watch the store, where it
-	// has them. Whoever follows takes them in turn, so that one that is dark or
-	// deaf delays a change by one question only.
-	minWatchers = 2
+	// has them. While the one that does is dark or deaf, those that follow it ask the
+	// store and the watchers of other data centres, so that a change is delayed by one
+	// question only. A second one doubles the calls.
+	minWatchers = 1
 	// instancesPerWatcher adds watchers in large data centres: at 92 instances (550
 	// in 6) each answers 25 questions a second.
 	instancesPerWatcher = 16
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -15,7 +15,8 @@
 
 // Settings of the calls to the store and to those that watch it.
 const (
-	// watchSlack covers the way of a watch and a slow store (0.3 s on the sheets).
+	// watchSlack covers the way of a watch and a slow store. One that is slower counts
+	// as silent here: the other instances and the members stand in for it.
 	watchSlack = 700 * time.Millisecond
 	// watchMargin is kept for reading the store anew and telling those that follow.
 	watchMargin = 800 * time.Millisecond
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -18,8 +18,9 @@
 
 // Settings of a change of primary.
 const (
-	// plannedDrain is the time for open transactions when the primary still
-	// serves: p99 of the sheets' transactions is 0.27 and 0.5 s.
+	// plannedDrain is the time for open transactions when the primary still serves.
+	// All other work for it waits meanwhile; what takes longer is rolled back, and
+	// its caller told so.
 	plannedDrain = 500 * time.Millisecond
 	// urgentDrain is the same when the primary is dead: nothing there will end by
 	// itself, but one that is only slow may still answer.
@@ -36,8 +37,9 @@
 	leaderProof = 500 * time.Millisecond
 	// promoteTimeout bounds the call to the platform.
 	promoteTimeout = time.Second
-	// promoteWait bounds the wait until the member leads: 0.3 and 0.6 s on the
-	// sheets after the call, which may itself be slow.
+	// promoteWait bounds the wait until the member leads, which is asked every
+	// pollInterval. The bound matters only where a promotion has failed silently; one
+	// that takes longer is found by the next attempt.
 	promoteWait = 2500 * time.Millisecond
 	// pollInterval is the pause between two questions while a position or a role
 	// is awaited; a question costs the member a slot for a moment.
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -18,8 +18,8 @@
 // Settings of the controller.
 const (
 	// rankDelay is how long each further candidate waits before it takes over a
-	// group without a leader, so that they do not write all at once: some store
-	// calls (4 ms each on the sheets, 60 times that when the store is slow).
+	// group without a leader, so that they do not write all at once: a call of the
+	// store, also while that is slow. Those that write together lose a call, no more.
 	rankDelay = 300 * time.Millisecond
 	// storeTimeout bounds one call of the store; slow ones take 0.3 s.
 	storeTimeout = 1500 * time.Millisecond
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -30,13 +30,13 @@
 	// lostReadShare is the part of its objective after which a read that got no
 	// answer is given to another member.
 	lostReadShare = 0.5
-	// minReadTimeout is the least time a member gets for a read: its work may take
-	// 0.2 s on the sheets, behind others.
-	minReadTimeout = 150 * time.Millisecond
-	// stuckAfter is after what time a statement without an answer does not count as
-	// work of its member any more, so that a lost answer does not keep others
-	// away. It is several times the work of a statement (6 to 40 ms on the sheets).
-	stuckAfter = 120 * time.Millisecond
+	// patienceTimes is how many times its usual time a statement may take before it
+	// does not count as work of its member any more, so that a lost answer does not
+	// keep others away, and the least that a member gets for a read that others could
+	// serve. Work of one kind differs by a factor of three or so, and waits for others.
+	patienceTimes = 8
+	// defaultPatience stands for that while nothing usual is known.
+	defaultPatience = 150 * time.Millisecond
 	// maxFailures is how many members may fail a read before its failure is the
 	// caller's: the statement itself may be at fault.
 	maxFailures = 2
@@ -161,6 +161,14 @@
 	}
 }
 
+// patience returns for how long a member is expected to work on the statement at most.
+func (a *attempt) patience() time.Duration {
+	if usual := a.group.usual(kindOf(a.route)); usual > 0 {
+		return patienceTimes * usual
+	}
+	return defaultPatience
+}
+
 func (a *attempt) needsPrimary() bool {
 	return !a.reads || a.route.Consistency == topology.Strict
 }
@@ -235,7 +243,7 @@
 	}
 	timeout := a.deadline
 	if others {
-		timeout = min(timeout, a.now()+max(minReadTimeout, time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
+		timeout = min(timeout, a.now()+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
 	}
 	return a.tryAt(context.Background(), target{up: up, after: required}, waitUntil, timeout)
 }
@@ -317,7 +325,7 @@
 		return statement.Answer{}, noRoom
 	}
 	asked := a.now()
-	stuck := time.AfterFunc(stuckAfter, lease.Park)
+	stuck := time.AfterFunc(a.patience(), lease.Park)
 	defer stuck.Stop()
 	answer, err := lease.Conn.Run(request(a.st, a.needed, t.after, relay.wall(timeout)))
 	if err != nil {
--- a/internal/relay/streams.go
+++ b/internal/relay/streams.go
@@ -25,8 +25,8 @@
 	// milliseconds, and other carriers can be asked.
 	openTimeout = 200 * time.Millisecond
 	// pingAfter is for how long a carrier may leave an answer open, and say nothing
-	// else, before it is asked whether it is there: longer than most statements take
-	// (p50 of 40 ms on the sheets).
+	// else, before it is asked whether it is there. A question costs it less than a
+	// statement, and asking too early does no harm.
 	pingAfter = 100 * time.Millisecond
 	// pingTimeout bounds that question. A machine whose share of the processor is
 	// spent stands still for up to 0.1 s.
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -28,7 +28,7 @@
 // Settings of the pools.
 const (
 	concurrentDials = 2                      // a connection that opens takes a slot of the member
-	dialTimeout     = 400 * time.Millisecond // 12 ms on the sheets, behind a full queue more
+	dialTimeout     = 400 * time.Millisecond // the handshake may wait behind a full queue of the member
 	minDialBackoff  = 50 * time.Millisecond  // refused connections are priced like served ones
 	maxDialBackoff  = 400 * time.Millisecond
 	maxQueue        = 64 // requests of one route that wait for a connection of one member
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -35,6 +35,16 @@
 	return w.Usual()
 }
 
+// usual returns what a statement of a kind usually takes, 0 while that is not known.
+func (g *groupState) usual(kind workKind) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w := g.works[kind]; w != nil {
+		return w.Usual()
+	}
+	return 0
+}
+
 // pace takes in how long a member took for a statement that does not belong to a
 // transaction, and holds further ones back for as long as the member seems to have
 // more than it can run. With a member that has twice the work that it can run, a tenth
