Relief: a primary that serves alone and is full changes places with a replica

Change: a promoted member leads with what it has received, and the old primary, which has applied all of it, serves reads as a replica. So where the leader sees that no replica has served a read for 1 s and the primary answers at twice its usual time or slower, a replica whose log ends within 0.3 s of the primary's takes its place, as planned changes go. Not where the change would wait for an instance that cannot be reached, and once in 30 s.

The step-down ends no grant any more (TestStepDownDoesNotEndGrants fails before); a planned change is begun only where enough instances answer, and otherwise tried again each second.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/relay"
@@ -207,4 +208,12 @@
 
 func (s surroundings) Heard(id string) (time.Duration, bool) { return s.i.upstreams.Heard(id) }
 func (s surroundings) Doubtful(id string) bool               { return s.i.upstreams.Doubtful(id) }
-func (s surroundings) NoteAnswer(id string)                  { s.i.upstreams.NoteAnswer(id) }
+func (s surroundings) Alone(group, primary string) bool {
+	return s.i.upstreams.Alone(group, primary)
+}
+
+func (s surroundings) Behind(name string, p group.Position) time.Duration {
+	return s.i.upstreams.Behind(name, p)
+}
+
+func (s surroundings) NoteAnswer(id string) { s.i.upstreams.NoteAnswer(id) }
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -71,6 +71,9 @@
 		log.Info("lead: the primary should be replaced, but no other member is in service")
 		return
 	}
+	if planned && !c.mostAnswer(ctx, g, log) {
+		return
+	}
 	log.Info("lead: the primary is to be replaced: " + reason)
 	c.around.Event("change", group, record.Primary, record.Term, reason)
 	if _, err := c.write(ctx, group, g, record, revision); err != nil {
@@ -81,6 +84,26 @@
 	c.replace(ctx, group, g, change)
 }
 
+// plannedPause is the pause before a planned change is considered again that could not
+// be carried through.
+const plannedPause = time.Second
+
+// mostAnswer reports whether so many instances can be reached that a planned change
+// does not wait for what the others may still attest to one another, with the group
+// left without a primary meanwhile.
+func (c *Controller) mostAnswer(ctx context.Context, g *ledGroup, log *logrus.Entry) bool {
+	if g.plannedAt > 0 && c.now()-g.plannedAt < plannedPause {
+		return false
+	}
+	g.plannedAt = c.now()
+	s := c.survey(ctx)
+	if s.answered < s.needed {
+		log.WithFields(logrus.Fields{"answered": s.answered, "needed": s.needed}).
+			Info("lead: the primary should be replaced, but too few instances can be reached")
+	}
+	return s.answered >= s.needed
+}
+
 // successors returns the members that could lead in place of the primary.
 func (c *Controller) successors(group, primary string) []topology.Member {
 	var fit []topology.Member
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
@@ -65,6 +66,12 @@
 	// Doubtful reports whether a member has left an attempt of this instance
 	// unanswered since its last answer.
 	Doubtful(member string) bool
+	// Alone reports whether a group's primary has more than it can run while none of
+	// its replicas can serve reads.
+	Alone(group, primary string) bool
+	// Behind returns how long ago the primary's log ended at a position, negative
+	// when that is not known.
+	Behind(group string, p group.Position) time.Duration
 	// NoteAnswer records that a member answered.
 	NoteAnswer(member string)
 	// Event puts a change of belief on the time line.
@@ -107,6 +114,8 @@
 	takenAt     time.Duration // when we took over
 	tried       attempt       // the last attempt to take over
 	absentAt    time.Duration // when the primary's entry was first found missing, 0: it is there
+	plannedAt   time.Duration // when a planned change was last considered; 0: never
+	relievedAt  time.Duration // when the primary was last changed for being alone; 0: never
 	outcome     *outcome      // reached, but perhaps not in the store yet
 	conn        member.Conn   // to the primary, for questions
 	connTo      string
@@ -326,6 +335,7 @@
 	now := c.now()
 	if heard && age < probeAfter && !c.around.Doubtful(primary.ID) && c.connected(g, primary) {
 		g.refused, g.silent, g.doubtAt = 0, false, 0
+		c.relieve(ctx, group, g, primary)
 		return
 	}
 	if now-g.probedAt < probePause {
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
@@ -25,6 +26,9 @@
 	gate  *Gate
 	snap  *topology.Snapshot
 	lease kv.LeaseID
+
+	alone  bool
+	behind time.Duration
 }
 
 func (f *fixture) Topology() *topology.Snapshot                 { return f.snap }
@@ -34,6 +38,8 @@
 func (f *fixture) Heard(string) (time.Duration, bool)           { return 0, false }
 func (f *fixture) Doubtful(string) bool                         { return false }
 func (f *fixture) NoteAnswer(string)                            {}
+func (f *fixture) Alone(string, string) bool                    { return f.alone }
+func (f *fixture) Behind(string, group.Position) time.Duration  { return f.behind }
 func (f *fixture) Event(string, string, string, uint64, string) {}
 
 // refresh brings the view up to the store.
--- a/internal/lead/others.go
+++ b/internal/lead/others.go
@@ -63,6 +63,38 @@
 	})
 }
 
+// survey is what a change of primary would meet now.
+type survey struct {
+	answered int // registered instances that answer, this one included
+	needed   int // that must release before grants cannot be attested any more
+	holders  int // instances that do not answer, and whose grants have not lapsed
+}
+
+// survey asks all registered instances whether they are there.
+func (c *Controller) survey(ctx context.Context) survey {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	view, now := c.around.View(), c.now()
+	registered := view.Registered(now)
+	s := survey{answered: 1, needed: ReleaseQuorum(len(registered), view.Joined(now))}
+	var mu sync.Mutex // guards s
+	c.askOthers(registered, func(instance Instance, client leadpb.CoordinationClient) error {
+		_, err := client.Witness(ctx, &leadpb.WitnessRequest{})
+		entry, _ := view.Entry(now, instance.Name)
+		since, gone := view.MissingSince(entry)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err == nil:
+			s.answered++
+		case !gone || now-since < grantsLapsed:
+			s.holders++
+		}
+		return err
+	})
+	return s
+}
+
 // witnessed asks the other instances whether one of them heard from a member
 // after the time at which it first left us without an answer, and returns its name.
 func (c *Controller) witnessed(ctx context.Context, id string, since time.Duration) (string, bool) {
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -27,7 +27,9 @@
 }
 
 // clearGrants returns once no instance uses the old primary any more, or once
-// that one is found to be well and need not be replaced.
+// that one is found to be well and need not be replaced. That the old primary has
+// stepped down does not do: it runs no writes then, but the strict reads of an
+// instance that has not heard of the change.
 func (c *Controller) clearGrants(ctx context.Context, group string, revision int64, change Change, record Record, announced time.Duration) clearing {
 	drain := urgentDrain
 	if change.Planned {
@@ -57,9 +59,6 @@
 		if !change.Planned && !old.Draining && c.leads(ctx, old, record.Term) {
 			return clearing{stays: true}
 		}
-		if status, ok := c.stepDown(ctx, old, record.Term); ok {
-			return clearing{done: true, last: status}
-		}
 	}
 }
 
--- /dev/null
+++ b/internal/lead/relieve_test.go
@@ -0,0 +1,94 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/standin/memstore"
+)
+
+// A primary that serves its group alone and is full changes places with a replica
+// that has received the log, and only then.
+func TestRelieve(t *testing.T) {
+	for name, c := range map[string]struct {
+		alone  bool
+		behind time.Duration
+		before func(*ledGroup)
+		want   bool
+	}{
+		"alone, with a replica at the log's end": {true, 0, func(*ledGroup) {}, true},
+		"replicas serve reads":                   {false, 0, func(*ledGroup) {}, false},
+		"no replica has received the log":        {true, mostBehind + 1, func(*ledGroup) {}, false},
+		"what they have received is not known":   {true, -1, func(*ledGroup) {}, false},
+		"changed a moment ago":                   {true, 0, func(g *ledGroup) { g.relievedAt = 1 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := memstore.New()
+			leader, around := newController(t, "a", store.Client())
+			clock := time.Minute
+			leader.now = func() time.Duration { return clock }
+			g := led(t, leader, around, store)
+			around.alone, around.behind = c.alone, c.behind
+			c.before(g)
+			if g.relievedAt > 0 {
+				g.relievedAt = clock - reliefPause + 1
+			}
+			leader.relieve(t.Context(), "g", g, around.snap.Members["m1"])
+			around.refresh(t, store.Client())
+			record, _ := around.view.Record("g")
+			must.Eq(t, c.want, record.Primary == "m2")
+		})
+	}
+}
+
+// A planned change that would wait for an instance which cannot be reached is not
+// begun for relief.
+func TestRelieveWaitsForNobody(t *testing.T) {
+	store := memstore.New()
+	leader, around := newController(t, "a", store.Client())
+	clock := time.Minute
+	leader.now = func() time.Duration { return clock }
+	g := led(t, leader, around, store)
+	_, err := store.Client().Commit(t.Context(), around.view.Registration(Instance{Name: "b", Incarnation: "1", Address: "127.0.0.1:1"}, around.lease))
+	must.NoError(t, err)
+	around.refresh(t, store.Client())
+	around.alone = true
+	leader.relieve(t.Context(), "g", g, around.snap.Members["m1"])
+	around.refresh(t, store.Client())
+	record, _ := around.view.Record("g")
+	must.Eq(t, "m1", record.Primary)
+	must.Nil(t, record.Change)
+}
+
+// led makes a controller the leader of its group, whose primary is found.
+func led(t *testing.T, c *Controller, around *fixture, store *memstore.Store) *ledGroup {
+	g := &ledGroup{}
+	c.takeOver(t.Context(), "g", g)
+	around.refresh(t, store.Client())
+	c.watchPrimary(t.Context(), "g", g)
+	around.refresh(t, store.Client())
+	record, _ := around.view.Record("g")
+	must.Eq(t, "m1", record.Primary)
+	return g
+}
+
+// An old primary that has stepped down still answers the strict reads of an instance
+// that has not heard of the change, so that the wait for its grant goes on. Found by
+// scale-2 of lkx-kiosk, where such an instance read without a commit of the successor.
+func TestStepDownDoesNotEndGrants(t *testing.T) {
+	store := memstore.New()
+	leader, around := newController(t, "a", store.Client())
+	led(t, leader, around, store)
+	revision, err := store.Client().Commit(t.Context(), around.view.Registration(Instance{Name: "b", Incarnation: "1", Address: "127.0.0.1:1"}, around.lease))
+	must.NoError(t, err)
+	around.refresh(t, store.Client())
+	ctx, cancel := context.WithTimeout(t.Context(), plannedDrain+2*releaseTimeout)
+	defer cancel()
+	record, _ := around.gate.Record()
+	cleared := leader.clearGrants(ctx, "g", revision, Change{ID: "x", Planned: true}, record, leader.now())
+	must.False(t, cleared.done)
+	must.False(t, cleared.stays)
+}
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -64,6 +64,7 @@
 	behind   time.Duration  // how long ago the primary was there; negative: not known
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
+	lagSince time.Duration  // when the first of them was
 	recent   tally
 	window   pacing.Window
 }
@@ -211,6 +212,42 @@
 	return up.health.SinceAnswer(u.now())
 }
 
+// stuckReplica is for how long a replica must not have been able to serve any read
+// before it counts as stuck: longer than replicas usually lag, and than a burst lasts
+// that one primary can take.
+const stuckReplica = time.Second
+
+// Alone reports whether a group's primary has more than it can run while every replica
+// has fallen behind by more than its routes allow, and stays there.
+func (u *Upstreams) Alone(group, primary string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now, replicas, full := u.now(), 0, false
+	for id, up := range u.members {
+		if up.group != group {
+			continue
+		}
+		up.mu.Lock()
+		if id == primary {
+			full = up.window.Full()
+		} else {
+			replicas++
+		}
+		stuck := up.lagged > 0 && now-up.lagSince >= stuckReplica
+		up.mu.Unlock()
+		if id != primary && !stuck {
+			return false
+		}
+	}
+	return full && replicas > 0
+}
+
+// Behind returns how long ago the primary's log ended at a position, negative when
+// that is not known.
+func (u *Upstreams) Behind(name string, p group.Position) time.Duration {
+	return u.group(name).behind(u.now(), p)
+}
+
 // NoteAnswer records that a member answered.
 func (u *Upstreams) NoteAnswer(id string) {
 	if up := u.get(id); up != nil {
@@ -307,6 +344,9 @@
 		return
 	}
 	up.recent.lagging++
+	if up.lagged == 0 {
+		up.lagSince = now
+	}
 	up.lagUntil = now + min(minLagPause<<min(up.lagged, maxLagShift), maxLagPause)
 	up.lagged++
 }
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -9,6 +9,7 @@
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
 // newUnconfirmedBench returns a bench whose instance has not heard of the store for
@@ -69,3 +70,26 @@
 	must.NoError(t, b.group.Promote(t.Context(), "g", "m2", "other", 2))
 	must.False(t, b.relay.verify(g, a))
 }
+
+// A primary serves its group alone when no replica has served a read for a while, and
+// it answers more slowly than it usually does.
+func TestAlone(t *testing.T) {
+	b := newBench(t)
+	up := b.relay.upstreams
+	replica, g := up.get("m2"), up.group("g")
+	alone := func() bool { return up.Alone("g", "m1") }
+	answer := func(n int, took time.Duration) {
+		for range n {
+			b.relay.pace(up.get("m1"), g, topology.Route{}, took)
+		}
+	}
+	answer(100, time.Millisecond)
+	replica.noteProgress(time.Minute, true, b.relay.now())
+	must.False(t, alone(), must.Sprint("the primary has room"))
+	answer(100, time.Second)
+	must.False(t, alone(), must.Sprint("the replica has lagged for a moment only"))
+	replica.lagSince = up.now() - stuckReplica
+	must.True(t, alone())
+	replica.noteProgress(0, false, up.now())
+	must.False(t, alone(), must.Sprint("the replica serves reads again"))
+}
