--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -39,8 +39,8 @@
 // Share returns the share, at most 1.
 func (w *Window) Share() float64 { return 1 - w.less }
 
-// Full reports whether the member has more than it can run.
-func (w *Window) Full() bool { return w.Share() < 1 && w.ratio >= roomRatio }
+// Full reports whether the member has about as much as it can run, or more.
+func (w *Window) Full() bool { return w.ratio >= roomRatio }
 
 // Answered takes in an answer that took a time and usually takes another, and returns
 // for how long nothing of the same importance should be sent. Where nothing usual is
