A primary's answers are judged by when they arrive; attestation by a quorum near by

Traced by reading: since grants of 3 s a read was passed on unverified when its grant was confirmed as it was sent. It may wait for a connection, in the member's queue or behind a cut until after a promotion, and is no longer broken off when the grant lapses. Now every answer under a pass needs a grant that is confirmed when it arrives, or the members' word (TestReadThatWaitedIsVerified fails before).

Attestation: at 71 instances each asked 70 others for all 8 groups each second while the store is silent.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -59,16 +59,22 @@
 	// the other instances are asked: more than passes between two confirmations where
 	// the store answers, and little less than grants are confirmed for.
 	attestAfter = lead.GrantValidity - 300*time.Millisecond
-	// attestEvery is the pause between two rounds: there is time for a second one
-	// before what the first has attested lapses.
-	attestEvery = lead.GrantValidity / 3
+	// attestEvery is the pause after a round that found a quorum: there is time for
+	// two more before what it has attested lapses.
+	attestEvery = lead.GrantValidity / 2
+	// attestAgain is the pause after one that did not.
+	attestAgain = 300 * time.Millisecond
 )
 
 // attest has the other instances stand in for the store while it is silent.
 func (i *Instance) attest() {
 	now := i.now()
 	heard, asked := time.Duration(i.heardAt.Load()), time.Duration(i.askedAt.Load())
-	if !i.registeredOnce.Load() || now-heard < attestAfter || now-asked < attestEvery || i.attesting.Swap(true) {
+	pause := attestEvery
+	if time.Duration(i.attestAt.Load()) < asked {
+		pause = attestAgain
+	}
+	if !i.registeredOnce.Load() || now-heard < attestAfter || now-asked < pause || i.attesting.Swap(true) {
 		return
 	}
 	i.askedAt.Store(int64(now))
@@ -208,6 +214,7 @@
 
 func (s surroundings) Heard(id string) (time.Duration, bool) { return s.i.upstreams.Heard(id) }
 func (s surroundings) Doubtful(id string) bool               { return s.i.upstreams.Doubtful(id) }
+func (s surroundings) Carries(group string) bool             { return s.i.relay.Carries(group) }
 func (s surroundings) Alone(group, primary string) bool {
 	return s.i.upstreams.Alone(group, primary)
 }
--- a/internal/lead/attest.go
+++ b/internal/lead/attest.go
@@ -1,13 +1,16 @@
 package lead
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
+	"github.com/stackspindle/stackspindle/internal/ownership"
 )
 
 // attestTimeout bounds the questions of one round.
@@ -21,15 +24,23 @@
 	ctx, cancel := context.WithTimeout(ctx, attestTimeout)
 	defer cancel()
 	registered := c.around.View().Registered(c.now())
+	needed := AttestQuorum(len(registered))
 	req := &leadpb.AttestRequest{From: c.self.Name}
 	for group := range c.around.Topology().Groups {
+		if !c.around.Carries(group) {
+			continue // its primary is not used here
+		}
 		if _, revision := c.around.Gate(group).Record(); revision > 0 {
 			req.Known = append(req.Known, &leadpb.GroupRevision{Group: group, Revision: revision})
 		}
 	}
-	round := &attestation{needed: AttestQuorum(len(registered)), answers: 1, news: make(map[string][]*leadpb.GroupNews)}
+	round := &attestation{needed: needed, answers: 1, news: make(map[string][]*leadpb.GroupNews)}
 	sent := c.now()
-	c.askOthers(registered, func(_ Instance, client leadpb.CoordinationClient) error {
+	asked := registered
+	if !c.attestAll.Load() {
+		asked = attestors(registered, c.self, needed)
+	}
+	c.askOthers(asked, func(_ Instance, client leadpb.CoordinationClient) error {
 		reply, err := client.Attest(ctx, req)
 		if err == nil {
 			round.note(reply)
@@ -39,7 +50,36 @@
 	c.applyAttestation(req, round, sent)
 	c.log.WithFields(logrus.Fields{"answers": round.answers, "needed": round.needed, "newer": len(round.news)}).
 		Info("lead: the other instances were asked to attest, since the store does not answer")
-	return sent, round.answers >= round.needed
+	enough := round.answers >= round.needed
+	c.attestAll.Store(!enough)
+	return sent, enough
+}
+
+// attestSpare is the part of the instances that are asked beyond a quorum, for those
+// that do not answer: one in ten.
+const attestSpare = 10
+
+// attestors returns whom an instance asks: a quorum and some more, those of its own
+// data centre first, and beginning with another one for each instance. Where that
+// does not do, all are asked the next time. With 71 instances that halves the calls,
+// and what of them crosses between data centres.
+func attestors(registered []Instance, self Instance, needed int) []Instance {
+	var near, far []Instance
+	for _, i := range registered {
+		switch {
+		case i.Name == self.Name:
+		case i.DataCentre == self.DataCentre:
+			near = append(near, i)
+		default:
+			far = append(far, i)
+		}
+	}
+	byScore := func(a, b Instance) int {
+		return cmp.Compare(ownership.Score(self.Name, a.Name), ownership.Score(self.Name, b.Name))
+	}
+	slices.SortFunc(far, byScore)
+	asked := append(near, far...)
+	return asked[:min(len(asked), needed-1+max(1, len(registered)/attestSpare))]
 }
 
 // attestation is what a round of questions has brought.
--- /dev/null
+++ b/internal/lead/attest_test.go
@@ -0,0 +1,43 @@
+package lead
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// An instance asks a quorum and some more, its own data centre first, and all
+// instances together do not ask the same.
+func TestAttestors(t *testing.T) {
+	var all []Instance
+	for n := range 71 {
+		all = append(all, Instance{Name: fmt.Sprint(n), DataCentre: fmt.Sprint("dc", n%3)})
+	}
+	needed := AttestQuorum(len(all))
+	asked := make(map[string]int)
+	for _, self := range all {
+		others := attestors(all, self, needed)
+		must.Len(t, needed-1+7, others)
+		must.SliceNotContains(t, others, self)
+		for i, other := range others {
+			asked[other.Name]++
+			must.False(t, other.DataCentre == self.DataCentre && i >= 24, must.Sprint("near ones come first"))
+		}
+		must.Eq(t, len(others), len(slices.Compact(slices.Sorted(slices.Values(names(others))))))
+	}
+	for _, i := range all {
+		must.Positive(t, asked[i.Name])
+	}
+	must.Len(t, 4, attestors(all[:7], all[0], AttestQuorum(7)))
+	must.SliceEmpty(t, attestors(all[:1], all[0], AttestQuorum(1)))
+}
+
+func names(instances []Instance) []string {
+	var list []string
+	for _, i := range instances {
+		list = append(list, i.Name)
+	}
+	return list
+}
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -66,6 +67,8 @@
 	// Doubtful reports whether a member has left an attempt of this instance
 	// unanswered since its last answer.
 	Doubtful(member string) bool
+	// Carries reports whether the instance itself uses the members of a group.
+	Carries(group string) bool
 	// Alone reports whether a group's primary has more than it can run while none of
 	// its replicas can serve reads.
 	Alone(group, primary string) bool
@@ -93,6 +96,8 @@
 	peers    *peerconn.Conns
 	own      *Server // answers this instance's own questions
 
+	attestAll atomic.Bool // the last round of attestation has not found a quorum
+
 	mu     sync.Mutex // guards groups
 	groups map[string]*ledGroup
 }
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -38,6 +38,7 @@
 func (f *fixture) Heard(string) (time.Duration, bool)           { return 0, false }
 func (f *fixture) Doubtful(string) bool                         { return false }
 func (f *fixture) NoteAnswer(string)                            {}
+func (f *fixture) Carries(string) bool                          { return true }
 func (f *fixture) Alone(string, string) bool                    { return f.alone }
 func (f *fixture) Behind(string, group.Position) time.Duration  { return f.behind }
 func (f *fixture) Event(string, string, string, uint64, string) {}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -269,7 +269,7 @@
 		a.why = "the primary's entry is gone"
 		return statement.Answer{}, noRoom
 	}
-	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker, confirmed: pass.Standing() == lead.Confirmed}, waitUntil, a.deadline)
+	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker}, waitUntil, a.deadline)
 	if a.s.tx == nil || a.s.tx.pass != pass {
 		pass.Done()
 	}
@@ -289,10 +289,6 @@
 	pass    *lead.Pass     // for the primary; nil: a replica
 	breaker *breaker       // with a pass only
 	after   group.Position // that its log must hold; zero: any
-
-	// confirmed says that the pass's grant was when the statement was sent: a read is
-	// then of the right log, however long its answer takes.
-	confirmed bool
 }
 
 // tryAt has one member run the statement. A connection is waited for until
@@ -411,7 +407,7 @@
 		return answer, served
 	}
 	held.release()
-	if answer.Err != nil || a.reads && (pass == nil || t.confirmed) {
+	if answer.Err != nil || pass == nil {
 		return answer, served
 	}
 	if !a.s.relay.stands(a.group, pass) {
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -23,6 +23,9 @@
 	// it is verified. Its answer is verified in any case; that the members answer at
 	// all is known by then, so that few writes end with an outcome that is not known.
 	verifiedFor = 500 * time.Millisecond
+	// roundPause is the pause between two rounds: answers that come meanwhile share the
+	// next. Each question is charged, and takes a slot of a member for a moment.
+	roundPause = 20 * time.Millisecond
 )
 
 // round is a round of questions to the members of a group, shared by all who wait
@@ -95,6 +98,7 @@
 		}
 		g.mu.Unlock()
 		close(current.done)
+		time.Sleep(roundPause)
 	}
 }
 
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/pool"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -58,6 +59,29 @@
 	must.NotNil(t, b.run(s, statement.Read, "READ 1").Err)
 }
 
+// A read that was sent under a confirmed grant may have waited, in a queue or behind a
+// cut, until after a promotion: what counts is when its answer arrives. Found by
+// crash_cut, a day of our own, on which one read ran without an acknowledged commit.
+func TestReadThatWaitedIsVerified(t *testing.T) {
+	b := newBench(t)
+	pass, err := b.gate.Enter(func() {})
+	must.NoError(t, err)
+	must.Eq(t, lead.Confirmed, pass.Standing())
+	up := b.relay.upstreams.get("m1")
+	settle := func() outcome {
+		lease, err := up.pool.Acquire(t.Context(), pool.Request{Deadline: generous}, nil)
+		must.NoError(t, err)
+		a := &attempt{s: newSession(b.relay, "strict"), group: b.relay.upstreams.group("g"), gate: b.gate, reads: true}
+		_, out := a.settle(target{up: up, pass: pass}, &hold{lease: lease}, statement.Done(statement.Idle))
+		return out
+	}
+	must.Eq(t, served, settle())
+	b.relay.started = b.relay.started.Add(-2 * lead.GrantValidity)
+	must.Eq(t, served, settle(), must.Sprint("the members verify it"))
+	must.NoError(t, b.group.Promote(t.Context(), "g", "m2", "other", 2))
+	must.Eq(t, notRun, settle())
+}
+
 // Answers that wait for a round share the next one.
 func TestVerificationBeginsAfterTheAnswer(t *testing.T) {
 	b := newUnconfirmedBench(t)
