--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -81,9 +81,9 @@
 	peerIdle    = 2 * time.Second
 	peerSilence = time.Second
 	// readyWithout is for how long an instance that hears neither of the store nor of
-	// most instances goes on to call itself ready. It serves on meanwhile, and
-	// callers that are sent elsewhere cost the others more than what it lacks costs
-	// these; an outage that lasts longer is no passing one.
+	// most instances goes on to call itself ready. It serves reads of replicas for as
+	// long as it likes, and the primary as far as the members verify its grants; sending
+	// its callers elsewhere at once would burden the others for each short outage.
 	readyWithout = lead.StorelessValidity / 2
 	// enforceDrain is how long open work may outlast a grant that ended without a
 	// release: the same as a planned change gives it.
--- a/internal/lead/grant.go
+++ b/internal/lead/grant.go
@@ -32,8 +32,8 @@
 	// driftShare is by what share two steady clocks may differ: 2.5%, for clocks
 	// that are each wrong by 1%, far more than crystals show.
 	driftShare = 40
-	// grantsLapsed, verifiableLapsed and storelessLapsed are after what time on one clock the same
-	// spans, counted on another, are over.
+	// grantsLapsed, verifiableLapsed and storelessLapsed are after what time on one
+	// clock the same spans, counted on another, are over.
 	grantsLapsed     = GrantValidity + GrantValidity/driftShare + watchDeafness
 	verifiableLapsed = VerifiableFor + VerifiableFor/driftShare + watchDeafness
 	storelessLapsed  = StorelessValidity + StorelessValidity/driftShare + watchDeafness
