--- a/internal/lead/attest.go
+++ b/internal/lead/attest.go
@@ -61,8 +61,8 @@
 
 // attestors returns whom an instance asks: a quorum and some more, those of its own
 // data centre first, and beginning with another one for each instance. Where that
-// does not do, all are asked the next time. With 71 instances that halves the calls,
-// and what of them crosses between data centres.
+// does not do, all are asked the next time. With 71 instances that
+// is 42 calls instead of 70, and fewer of them between data centres.
 func attestors(registered []Instance, self Instance, needed int) []Instance {
 	var near, far []Instance
 	for _, i := range registered {
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -21,7 +21,7 @@
 	// member is full, and fewer where it is only busy.
 	fullRatio = 2.5
 	roomRatio = 2.0
-	// shrink and grow are the steps by answer: from everything to an eighth takes 30
+	// shrink and grow are the steps by answer: from everything to an eighth takes 29
 	// answers, and back 43.
 	shrink = 0.93
 	grow   = 1.05
