Connections between instances: small buffers, seldom renewed, no questions while nothing is open

A call that timed out gave its connection up, every time, so that a busy fleet grew busier; each connection had 64 KB of buffers at each end and was asked every 2 s whether it lives. Now a connection is given up again after 0.5 s at the earliest, doubled up to 8 s; buffers of 4 KB; the operating system asks for dead ends; an instance whose caller's transaction rests at a carrier says so each second, and the carrier rolls back after 3 s without a word.

--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -28,16 +28,77 @@
 	// on it. It is longer than operators let a statement take; a connection that
 	// lingers costs a descriptor.
 	linger = 30 * time.Second
+	// minRenewal is the least time after which the connection to an address, which was
+	// given up as silent, is given up again. It doubles with each time, up to maxRenewal,
+	// and is forgotten after forgetRenewals. An instance that is busy, as all are that start together,
+	// answers late: connections that were given up after each such call and opened
+	// anew, 95 a second on each of 100 instances, left them no time for anything else.
+	minRenewal     = 500 * time.Millisecond
+	maxRenewal     = 8 * time.Second
+	forgetRenewals = 4 * maxRenewal
+	// bufferSize is the size of the buffer in which a connection is read, and of the
+	// one in which it is written, which the connections that write nothing now do without. A
+	// statement or an answer has some 400 bytes, a picture of the store more. With the
+	// library's 32 KB a fleet of 295 instances has 37 MB of them on each.
+	bufferSize = 4 << 10
 )
 
+// Settings of the connections that an instance accepts. A transaction that another has
+// open here holds one of the few connections to a member, so its end must be noticed soon. The
+// operating system asks, which wakes neither process: with a question of the library's to
+// each of 295 instances every 2 s nothing else got done on a weak one.
+const (
+	peerIdle    = 2 * time.Second // without a word, after which the other side is asked
+	peerAsk     = 500 * time.Millisecond
+	peerSilence = 2 // questions without an answer
+)
+
+// Listen opens the listener for other instances.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerIdle, Interval: peerAsk, Count: peerSilence}}
+	return config.Listen(ctx, "tcp", address)
+}
+
+// ServerOptions are the options of a server to which such connections lead.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize)}
+}
+
 // Conns holds the connections. It is safe for concurrent use.
 type Conns struct {
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	now func() time.Time
+
+	mu       sync.Mutex // guards the maps
+	conns    map[string]*grpc.ClientConn
+	renewals map[string]*renewal // by address
+}
+
+// renewal is when the connection to an address was last given up as silent.
+type renewal struct {
+	at    time.Time
+	pause time.Duration // before the next
+}
+
+// due reports whether a connection on which a call got no answer in time is to be
+// given up, and takes it that it is.
+func (r *renewal) due(now time.Time) bool {
+	since := now.Sub(r.at)
+	switch {
+	case r.at.IsZero() || since >= forgetRenewals:
+		r.pause = minRenewal
+	case since < r.pause:
+		return false
+	default:
+		r.pause = min(2*r.pause, maxRenewal)
+	}
+	r.at = now
+	return true
 }
 
 // New returns an empty set.
-func New() *Conns { return &Conns{conns: make(map[string]*grpc.ClientConn)} }
+func New() *Conns {
+	return &Conns{now: time.Now, conns: make(map[string]*grpc.ClientConn), renewals: make(map[string]*renewal)}
+}
 
 // Get returns the connection to an address.
 func (c *Conns) Get(address string) (*grpc.ClientConn, error) {
@@ -53,6 +114,7 @@
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithContextDialer(dial),
+		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithUnaryInterceptor(c.renewSilent(address)),
 	)
 	if err != nil {
@@ -88,6 +150,14 @@
 	if c.conns[address] != conn {
 		return
 	}
+	r := c.renewals[address]
+	if r == nil {
+		r = &renewal{}
+		c.renewals[address] = r
+	}
+	if !r.due(c.now()) {
+		return
+	}
 	delete(c.conns, address)
 	time.AfterFunc(linger, func() { _ = conn.Close() }) // nothing that matters is under way by then
 }
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -33,31 +33,104 @@
 	return &relaypb.PingReply{}, nil
 }
 
+// Settings of the transactions that are open for other instances.
+const (
+	// entryBeat is the pause after which an instance says that a transaction of its
+	// caller, which rests at a carrier, goes on.
+	entryBeat = time.Second
+	// entrySilence is after what time without a word the transaction is rolled back: it
+	// holds one of the few connections to a member. It leaves room for two words that are late.
+	entrySilence = 3 * entryBeat
+	// beatKind is the kind of a request that is no statement but such a word.
+	beatKind = -1
+)
+
+// carriedSession is the session of another instance's caller, on one stream.
+type carriedSession struct {
+	mu      sync.Mutex // guards the rest; held while a statement runs
+	session *session
+	silence *time.Timer // ends the open transaction; nil: none was opened yet
+}
+
 // Carry implements relaypb.CarrierServer.
 func (c *CarrierServer) Carry(stream grpc.BidiStreamingServer[relaypb.CarryRequest, relaypb.CarryReply]) error {
-	var s *session
-	defer func() {
-		if s != nil {
-			s.endTx()
-		}
-	}()
+	carried := &carriedSession{}
+	defer carried.end()
 	for {
 		req, err := stream.Recv()
 		if err != nil {
 			return nil // the entry has ended the stream: what is open is rolled back
 		}
-		if s == nil || s.tx == nil && s.lost == "" {
-			if c.isStopping() {
-				return stream.Send(&relaypb.CarryReply{Stopping: true})
-			}
-			s = newSession(c.relay, req.Database)
-			s.carried = true
-			s.floor = decodePosition(req.Floor)
+		if req.Kind == beatKind {
+			carried.heard()
+			continue
 		}
-		answer := s.handle(c.statement(s, req), c.relay.now()-time.Duration(req.ElapsedUs)*time.Microsecond)
-		if err := stream.Send(encodeReply(answer, s.floor)); err != nil {
+		reply := c.run(carried, req)
+		if err := stream.Send(reply); err != nil {
 			return err
 		}
+		if reply.Stopping {
+			return nil
+		}
+	}
+}
+
+// run has a statement run in its session.
+func (c *CarrierServer) run(carried *carriedSession, req *relaypb.CarryRequest) *relaypb.CarryReply {
+	carried.mu.Lock()
+	defer carried.mu.Unlock()
+	if s := carried.session; s == nil || s.tx == nil && s.lost == "" {
+		if c.isStopping() {
+			return &relaypb.CarryReply{Stopping: true}
+		}
+		carried.session = newSession(c.relay, req.Database)
+		carried.session.carried = true
+		carried.session.floor = decodePosition(req.Floor)
+	}
+	s := carried.session
+	answer := s.handle(c.statement(s, req), c.relay.now()-time.Duration(req.ElapsedUs)*time.Microsecond)
+	carried.await()
+	return encodeReply(answer, s.floor)
+}
+
+// await bounds the silence in an open transaction. The caller holds mu.
+func (s *carriedSession) await() {
+	switch {
+	case s.session.tx == nil && s.silence != nil:
+		s.silence.Stop()
+	case s.session.tx == nil:
+	case s.silence == nil:
+		s.silence = time.AfterFunc(entrySilence, s.abandon)
+	default:
+		s.silence.Reset(entrySilence)
+	}
+}
+
+// heard takes in a word of the entry.
+func (s *carriedSession) heard() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.session != nil {
+		s.await()
+	}
+}
+
+// abandon rolls back the transaction of an instance that has gone silent.
+func (s *carriedSession) abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.session.abandonTx("the instance that the caller is connected to was silent, and the transaction was rolled back")
+}
+
+// end rolls back what is open.
+func (s *carriedSession) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silence != nil {
+		s.silence.Stop()
+	}
+	if s.session != nil {
+		s.session.endTx()
 	}
 }
 
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -66,6 +66,7 @@
 	reply, err := tx.stream.ask(s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
 	if err != nil {
 		s.relay.logLost(s, st, tx.stream.address, err)
+		tx.stream.rest()
 		s.remote = nil
 		if st.Kind == statement.Commit && tx.wrote && !errors.Is(err, errNotTaken) {
 			return statement.Failure(statement.Idle, statement.Unknown, "the answer to the commit did not arrive: %v", err)
@@ -87,6 +88,7 @@
 	}
 	if s.remote == nil {
 		s.remote = &remoteTransaction{stream: stream, route: route}
+		stream.keep()
 	}
 	s.remote.wrote = s.remote.wrote || st.Kind == statement.Write || st.Kind == statement.Execute && s.names[st.Name].writes
 	return answer
@@ -95,6 +97,7 @@
 // dropCarried rolls back what is open at a carrier.
 func (s *session) dropCarried() {
 	if s.remote != nil {
+		s.remote.stream.rest()
 		s.remote.stream.cancel()
 		s.remote = nil
 	}
--- a/internal/relay/streams.go
+++ b/internal/relay/streams.go
@@ -55,6 +55,9 @@
 	address string
 	run     grpc.BidiStreamingClient[relaypb.CarryRequest, relaypb.CarryReply]
 	cancel  context.CancelFunc
+
+	mu   sync.Mutex  // guards what is sent, and beat
+	beat *time.Timer // says that the open transaction goes on; nil: none is open
 }
 
 func newCarrierConns(conns *peerconn.Conns, now func() time.Duration) *carrierConns {
@@ -175,8 +178,44 @@
 	return &carrierStream{owner: c, address: address, run: run, cancel: cancel}, nil
 }
 
+// send sends a request. A stream takes one at a time.
+func (s *carrierStream) send(req *relaypb.CarryRequest) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.beat != nil {
+		s.beat.Reset(entryBeat)
+	}
+	return s.run.Send(req)
+}
+
+// keep has the carrier told again and again that the transaction goes on, until the
+// stream is released or ends.
+func (s *carrierStream) keep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.beat != nil {
+		return
+	}
+	s.beat = time.AfterFunc(entryBeat, func() {
+		if s.send(&relaypb.CarryRequest{Kind: beatKind}) != nil {
+			s.rest() // the next statement finds the stream gone
+		}
+	})
+}
+
+// rest ends what keep began.
+func (s *carrierStream) rest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.beat != nil {
+		s.beat.Stop()
+		s.beat = nil
+	}
+}
+
 // release keeps the stream for the next transaction.
 func (s *carrierStream) release() {
+	s.rest()
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
 	if len(s.owner.idle[s.address]) >= idleStreams {
@@ -195,7 +234,7 @@
 	defer close(done)
 	watch := time.AfterFunc(pingAfter, func() { s.owner.watch(s.address, done, s.cancel) })
 	defer watch.Stop()
-	if err := s.run.Send(req); err != nil {
+	if err := s.send(req); err != nil {
 		s.cancel()
 		return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotTaken, err)
 	}
