Large fleets: few carriers near the members, led by one of them; who uses nothing asks seldom

Now two carriers stand in each member's data centre, statements for the primary go to those near it, the leader is one of them (others give the group up after 5 s), outcomes and questions about a primary go to carriers only, attestation backs off, and who uses no primary looks 5 times a second and asks every 5 s.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -8,6 +9,7 @@
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -29,16 +31,21 @@
 	defer ticker.Stop()
 	report := time.NewTicker(reportInterval)
 	defer report.Stop()
+	shrink := time.NewTicker(relay.ShrinkInterval)
+	defer shrink.Stop()
 	for {
 		select {
 		case c := <-i.changes:
 			i.takeIn(state, c)
 			close(c.taken)
 		case <-ticker.C:
+			ticker.Reset(i.tickPause())
 			if state.Expire(i.now()) {
 				i.publish(state)
 			}
+		case <-shrink.C:
 			i.upstreams.Shrink()
+			continue
 		case <-report.C:
 			i.upstreams.Report(i.part("relay"))
 		case <-i.ctx.Done():
@@ -53,6 +60,19 @@
 	}
 }
 
+// idleTick is the pause between two looks of an instance that neither leads a group nor uses
+// one. What is due there is to forget members, within seconds, and to take part in
+// what the others attest.
+const idleTick = 200 * time.Millisecond
+
+// tickPause returns the pause before the next look.
+func (i *Instance) tickPause() time.Duration {
+	if i.carriesAny() || i.view.Load().Leads(i.self.Name, i.self.Incarnation) {
+		return tickInterval
+	}
+	return idleTick
+}
+
 // Settings of the questions to the other instances.
 const (
 	// attestAfter is for how long the store must not have confirmed the grants before
@@ -62,8 +82,14 @@
 	// attestEvery is the pause after a round that found a quorum: there is time for
 	// two more before what it has attested lapses.
 	attestEvery = lead.GrantValidity / 2
-	// attestAgain is the pause after one that did not.
-	attestAgain = 300 * time.Millisecond
+	// minAttestAgain is the pause after one that did not, which doubles with each
+	// further one: with the grant unconfirmed the members verify what is
+	// done meanwhile, and instances that are too busy to answer get time to.
+	minAttestAgain     = 300 * time.Millisecond
+	maxAttestDoublings = 3 // up to 2.4 s
+	// attestIdle is the pause of an instance that uses no primary. It asks only to know
+	// that it is not cut off, and may call itself ready: three times before that lapses.
+	attestIdle = readyWithout / 3
 )
 
 // attest has the other instances stand in for the store while it is silent.
@@ -71,8 +97,11 @@
 	now := i.now()
 	heard, asked := time.Duration(i.heardAt.Load()), time.Duration(i.askedAt.Load())
 	pause := attestEvery
-	if time.Duration(i.attestAt.Load()) < asked {
-		pause = attestAgain
+	switch {
+	case !i.carriesAny():
+		pause = attestIdle
+	case time.Duration(i.attestAt.Load()) < asked:
+		pause = minAttestAgain << min(i.attestFailures.Load(), maxAttestDoublings)
 	}
 	if !i.registeredOnce.Load() || now-heard < attestAfter || now-asked < pause || i.attesting.Swap(true) {
 		return
@@ -80,12 +109,26 @@
 	i.askedAt.Store(int64(now))
 	i.spawn(func() {
 		defer i.attesting.Store(false)
-		if sent, ok := i.controller.Attest(i.ctx); ok {
-			i.attestAt.Store(int64(sent))
+		sent, ok := i.controller.Attest(i.ctx)
+		if !ok {
+			i.attestFailures.Add(1)
+			return
 		}
+		i.attestFailures.Store(0)
+		i.attestAt.Store(int64(sent))
 	})
 }
 
+// carriesAny reports whether this instance uses the primary of any group.
+func (i *Instance) carriesAny() bool {
+	for _, c := range i.placed {
+		if c.Here {
+			return true
+		}
+	}
+	return i.placed == nil
+}
+
 // takeIn puts a change in force.
 func (i *Instance) takeIn(state *topology.State, c change) {
 	view, err := i.applyView(c)
@@ -190,12 +233,32 @@
 	i.share(snap)
 }
 
-// share decides which instances hold connections to which groups, and how many.
+// sharing is what decides which instances hold connections to which groups.
+type sharing struct {
+	groups     []placement.Group
+	alive      []lead.Instance
+	registered int
+}
+
+func (s sharing) equal(other sharing) bool {
+	sameGroup := func(a, b placement.Group) bool {
+		return a.Name == b.Name && a.MaxConnections == b.MaxConnections && slices.Equal(a.Homes, b.Homes)
+	}
+	return s.registered == other.registered && slices.Equal(s.alive, other.alive) && slices.EqualFunc(s.groups, other.groups, sameGroup)
+}
+
+// share decides which instances hold connections to which groups, and how many. Most
+// changes of the picture leave that as it is; to rank 295 instances for 20 groups takes
+// a millisecond or more of a whole core.
 func (i *Instance) share(snap *topology.Snapshot) {
 	view := i.view.Load()
-	registered := len(view.Registered(i.now()))
-	i.upstreams.Update(snap, registered)
-	i.relay.SetCarriers(relay.Place(snap, i.self, view.Alive(), registered))
+	now := sharing{groups: relay.Groups(snap), alive: view.Alive(), registered: len(view.Registered(i.now()))}
+	if i.placed == nil || !now.equal(i.shared) {
+		i.shared = now
+		i.placed = relay.Place(now.groups, i.self, now.alive, now.registered)
+		i.relay.SetCarriers(i.placed)
+	}
+	i.upstreams.Update(snap, i.placed, i.self.DataCentre)
 }
 
 // surroundings gives the controller its picture of the instance.
@@ -216,6 +279,22 @@
 func (s surroundings) Doubtful(id string) bool               { return s.i.upstreams.Doubtful(id) }
 func (s surroundings) Carries(group string) bool             { return s.i.relay.Carries(group) }
 
+func (s surroundings) Rank(group string) int {
+	carriers := s.i.relay.CarriersOf(group)
+	if rank, ok := carriers.Rank(s.i.self.Name); ok {
+		return rank
+	}
+	return len(carriers.Names) + s.i.view.Load().Rank(group, s.i.self.Name)
+}
+
+func (s surroundings) Users(group string) []lead.Instance {
+	carriers := s.i.relay.CarriersOf(group)
+	if carriers.Everybody || len(carriers.Others) == 0 {
+		return s.i.view.Load().Registered(s.i.now())
+	}
+	return carriers.Others
+}
+
 func (s surroundings) Alone(group, primary string) bool {
 	return s.i.upstreams.Alone(group, primary)
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -19,7 +19,6 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/stackspindle/stackspindle/internal/feed"
 	"github.com/stackspindle/stackspindle/internal/feed/feedpb"
@@ -75,11 +74,6 @@
 	reportInterval  = 5 * time.Second       // one line a member then
 	backgroundTasks = 256
 	eventsKept      = 512
-	// peerIdle is after what time without a word from another instance it is asked
-	// whether it is there, and peerSilence how long its answer may take. A transaction
-	// that it has open here holds one of the few connections to a member meanwhile.
-	peerIdle    = 2 * time.Second
-	peerSilence = time.Second
 	// readyWithout is for how long an instance that hears neither of the store nor of
 	// most instances goes on to call itself ready. It serves reads of replicas for as
 	// long as it likes, and the primary as far as the members verify its grants; sending
@@ -105,6 +99,7 @@
 	lease          atomic.Int64 // of the registration, 0: none
 	attesting      atomic.Bool  // a round of questions to the other instances runs
 	askedAt        atomic.Int64 // when the last round was begun
+	attestFailures atomic.Int64 // rounds in a row that no quorum answered
 	attestAt       atomic.Int64 // when the last round that a quorum answered was begun
 	heardAt        atomic.Int64 // when the last store call was sent, by whomever, that confirmed the grants
 	registeredOnce atomic.Bool
@@ -132,6 +127,9 @@
 
 	watchFailed bool // the last watch got no answer; of the follower
 
+	shared sharing                   // what the placement rests on; of the control goroutine
+	placed map[string]relay.Carriers // by group, nil: not known yet; the same
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -163,14 +161,14 @@
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
-	i.relay = relay.New(i.started, settings.DataCentre, i.topology.Load, i.upstreams, i.conns, i.part("relay"), i.set)
+	i.relay = relay.New(i.started, i.self, i.topology.Load, i.upstreams, i.conns, i.part("relay"), i.set)
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
 		return nil, err
 	}
 	server := lead.NewServer(i.self.Incarnation, i.relay.Gate, i.informed, i.now, i.upstreams.Heard)
 	i.controller = lead.NewController(i.self, server, i.conns, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
 		i.now, i.spawn, i.part("lead"))
-	i.peers = grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerIdle, Timeout: peerSilence}))
+	i.peers = grpc.NewServer(peerconn.ServerOptions()...)
 	leadpb.RegisterCoordinationServer(i.peers, server)
 	i.carrier = relay.NewCarrierServer(i.relay)
 	relaypb.RegisterCarrierServer(i.peers, i.carrier)
@@ -191,7 +189,7 @@
 	if err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
-	peers, err := net.Listen("tcp", i.settings.PeerListen)
+	peers, err := peerconn.Listen(i.ctx, i.settings.PeerListen)
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
--- /dev/null
+++ b/internal/lead/aside_test.go
@@ -0,0 +1,51 @@
+package lead
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/standin/memstore"
+)
+
+// The instance that starts first sees nobody else and takes all groups. It gives one that
+// it does not use up to an instance that does.
+func TestGroupIsGivenUpToOneThatUsesIt(t *testing.T) {
+	store := memstore.New()
+	first, around := newController(t, "a", store.Client())
+	first.takeOver(t.Context(), "g", &ledGroup{})
+	around.refresh(t, store.Client())
+	led := &ledGroup{}
+	_, led.leading = around.view.Leader("g")
+
+	must.False(t, first.misplaced("g", led), must.Sprint("it uses the group"))
+	around.idle = true
+	must.False(t, first.misplaced("g", led), must.Sprint("it has just taken the group over"))
+	led.takenAt, led.steppedAt = -asideAfter, -asideAfter
+	must.True(t, first.misplaced("g", led))
+	first.stepAside(t.Context(), "g", led)
+	must.False(t, first.misplaced("g", &ledGroup{takenAt: led.takenAt, steppedAt: first.now()}), must.Sprint("it was tried just now"))
+	around.refresh(t, store.Client())
+	leader, _ := around.view.Leader("g")
+	must.Eq(t, "", leader.Instance)
+	_, revision := around.view.Record("g")
+	must.Positive(t, revision, must.Sprint("the record stays, with its generation"))
+}
+
+// An instance that was replaced as the leader meanwhile does not remove its successor's key.
+func TestReplacedLeaderDoesNotGiveTheGroupUp(t *testing.T) {
+	store := memstore.New()
+	first, around := newController(t, "a", store.Client())
+	second, aroundSecond := newController(t, "b", store.Client())
+	first.takeOver(t.Context(), "g", &ledGroup{})
+	around.refresh(t, store.Client())
+	led := &ledGroup{}
+	_, led.leading = around.view.Leader("g")
+	store.EndLease(around.lease)
+	aroundSecond.refresh(t, store.Client())
+	second.takeOver(t.Context(), "g", &ledGroup{})
+	first.stepAside(t.Context(), "g", led)
+	aroundSecond.refresh(t, store.Client())
+	leader, _ := aroundSecond.view.Leader("g")
+	must.Eq(t, "b", leader.Instance)
+}
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -69,6 +69,12 @@
 	Doubtful(member string) bool
 	// Carries reports whether the instance itself uses the members of a group.
 	Carries(group string) bool
+	// Users returns the instances that use the members of a group; this one may be
+	// among them.
+	Users(group string) []Instance
+	// Rank returns the place of this instance among those that could lead a group, 0
+	// for the first.
+	Rank(group string) int
 	// Alone reports whether a group's primary has more than it can run while none of
 	// its replicas can serve reads.
 	Alone(group, primary string) bool
@@ -119,6 +125,7 @@
 	takenAt     time.Duration // when we took over
 	tried       attempt       // the last attempt to take over
 	absentAt    time.Duration // when the primary's entry was first found missing, 0: it is there
+	steppedAt   time.Duration // when we last tried to give the group up
 	plannedAt   time.Duration // when a planned change was last considered; 0: never
 	relievedAt  time.Duration // when the primary was last changed for being alone; 0: never
 	outcome     *outcome      // reached, but perhaps not in the store yet
@@ -200,16 +207,16 @@
 	case lease == 0 || leader.Instance != "" && !view.Orphaned(group):
 		return nil
 	case leader.Instance != "":
-		if view.Rank(group, c.self.Name) > 0 {
+		if c.around.Rank(group) > 0 {
 			return nil // the key lapses with its lease; meanwhile the first in rank may take it
 		}
 		return c.takeOver
 	}
 	since, known := view.Leaderless(c.now(), group)
-	if known && since < time.Duration(view.Rank(group, c.self.Name))*rankDelay {
+	if known && since < time.Duration(c.around.Rank(group))*rankDelay {
 		return nil
 	}
-	if !known && view.Rank(group, c.self.Name) > 0 {
+	if !known && c.around.Rank(group) > 0 {
 		return nil // a group without a record: the first in rank creates it
 	}
 	return c.takeOver
@@ -340,6 +347,10 @@
 	now := c.now()
 	if heard && age < probeAfter && !c.around.Doubtful(primary.ID) && c.connected(g, primary) {
 		g.refused, g.silent, g.doubtAt = 0, false, 0
+		if c.misplaced(group, g) {
+			c.stepAside(ctx, group, g)
+			return
+		}
 		c.relieve(ctx, group, g, primary)
 		return
 	}
@@ -368,7 +379,7 @@
 	if !dead(g.refused, g.silent, age, heard, now-g.takenAt) {
 		return
 	}
-	if name, recently := c.witnessed(ctx, primary.ID, g.doubtAt); recently {
+	if name, recently := c.witnessed(ctx, group, primary.ID, g.doubtAt); recently {
 		c.log.WithFields(logrus.Fields{"group": group, "member": primary.ID, "witness": name, "refused": g.refused}).
 			Info("lead: the primary does not answer here, but another instance hears it; it stays")
 		return
--- a/internal/lead/others.go
+++ b/internal/lead/others.go
@@ -47,13 +47,14 @@
 	})
 }
 
-// publish tells the outcome to all instances, without waiting for the store.
+// publish tells the outcome to all that use the group, without waiting for the store.
+// The others have no use for it, and learn it from there.
 func (c *Controller) publish(ctx context.Context, group string, out *outcome) {
 	c.around.Gate(group).Settle(out.record, out.revision)
 	req := &leadpb.PublishRequest{Group: group, Revision: out.revision, Record: encode(out.record)}
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	c.askOthers(c.around.View().Registered(c.now()), func(instance Instance, client leadpb.CoordinationClient) error {
+	c.askOthers(c.around.Users(group), func(instance Instance, client leadpb.CoordinationClient) error {
 		_, err := client.Publish(ctx, req)
 		if err != nil {
 			c.log.WithFields(logrus.Fields{"group": group, "instance": instance.Name}).WithError(err).
@@ -95,12 +96,12 @@
 	return s
 }
 
-// witnessed asks the other instances whether one of them heard from a member
-// after the time at which it first left us without an answer, and returns its name.
-func (c *Controller) witnessed(ctx context.Context, id string, since time.Duration) (string, bool) {
+// witnessed asks the other instances that use a group whether one of them heard from a
+// member after the time at which it first left us without an answer, and returns its name.
+func (c *Controller) witnessed(ctx context.Context, group, id string, since time.Duration) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	others := c.around.View().Alive()
+	others := c.around.Users(group)
 	names := make(chan string, len(others))
 	c.askOthers(others, func(instance Instance, client leadpb.CoordinationClient) error {
 		reply, err := client.Witness(ctx, &leadpb.WitnessRequest{Member: id})
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/stackspindle/stackspindle/internal/kv"
@@ -27,6 +28,7 @@
 type View struct {
 	instances  map[string]held[Instance] // by name
 	alive      map[string]string         // incarnation by name
+	living     []Instance                // those of them that are registered, by name
 	missing    map[string]time.Duration  // since when a registered name is not alive
 	records    map[string]held[Record]   // by group
 	leaders    map[string]held[Leader]   // by group
@@ -126,6 +128,7 @@
 
 // note keeps account of since when something is missing.
 func (v *View) note(now time.Duration) {
+	v.living = v.listAlive()
 	if len(v.joined) == 0 {
 		v.began = now
 	}
@@ -160,6 +163,16 @@
 	return h.value, h.revision
 }
 
+// Leads reports whether a process leads any group.
+func (v *View) Leads(name, incarnation string) bool {
+	for _, h := range v.leaders {
+		if h.value.Instance == name && h.value.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // Orphaned reports whether the leader's process is known to have ended: another
 // has registered under its name.
 func (v *View) Orphaned(group string) bool {
@@ -186,20 +199,18 @@
 // IsAlive reports whether the entry of a process is in the store on its lease.
 func (v *View) IsAlive(name, incarnation string) bool { return v.alive[name] == incarnation }
 
-// Alive returns the instances whose lease holds, by name.
-func (v *View) Alive() []Instance {
-	var alive []Instance
+// Alive returns the instances whose lease holds, by name. It must not be changed.
+func (v *View) Alive() []Instance { return v.living }
+
+// listAlive returns the instances whose lease holds, by name.
+func (v *View) listAlive() []Instance {
+	alive := make([]Instance, 0, len(v.alive))
 	for name := range v.alive {
 		if h, ok := v.instances[name]; ok {
 			alive = append(alive, h.value)
 		}
 	}
-	slices.SortFunc(alive, func(a, b Instance) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(alive, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
 	return alive
 }
 
@@ -282,18 +293,19 @@
 	return gone
 }
 
-// Rank returns the place of an instance among those that could lead a group, 0
-// for the first. Instances whose lease is gone come last.
-func (v *View) Rank(group, name string) int {
-	var candidates []ownership.Instance
-	for _, i := range v.Alive() {
-		candidates = append(candidates, ownership.Instance{Name: i.Name, DataCentre: i.DataCentre})
+// Rank returns the place of an instance among those whose lease holds, for a key, 0
+// for the first. One whose lease is gone comes last.
+func (v *View) Rank(key, name string) int {
+	if _, alive := v.alive[name]; !alive {
+		return len(v.living)
 	}
-	order := ownership.Rank(ownership.Group{Name: group}, candidates)
-	if rank := slices.Index(order, name); rank >= 0 {
-		return rank
+	own, before := ownership.Score(key, name), 0
+	for _, i := range v.living {
+		if score := ownership.Score(key, i.Name); score > own || score == own && i.Name < name {
+			before++
+		}
 	}
-	return len(order)
+	return before
 }
 
 // Registration returns the transaction that registers an instance, with the sign
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,211 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/ownership"
+	"github.com/stackspindle/stackspindle/internal/pool"
+)
+
+// fleet returns n instances in each data centre.
+func fleet(n int, dataCentres ...string) []ownership.Instance {
+	var all []ownership.Instance
+	for _, dc := range dataCentres {
+		for i := range n {
+			all = append(all, ownership.Instance{Name: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc})
+		}
+	}
+	return all
+}
+
+func TestHowManyCarry(t *testing.T) {
+	for name, c := range map[string]struct {
+		connections, registered, homes int
+		count, share                   int
+		everybody                      bool
+	}{
+		"each can have two":                            {23, 9, 3, 9, 2, true},
+		"each can have four":                           {38, 8, 3, 8, 4, true},
+		"72 before 283":                                {283, 72, 3, 72, 3, true},
+		"none is known at the start":                   {23, 0, 3, 1, 21, true},
+		"two for each member":                          {53, 71, 3, 6, 8, false},
+		"295 before 131":                               {131, 295, 3, 6, 21, false},
+		"members are not known yet":                    {53, 71, 0, 12, 4, false},
+		"fewer than two each, for want of connections": {25, 550, 3, 5, 4, false},
+		"hardly any connections":                       {2, 550, 3, 1, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := Group{Name: "g", MaxConnections: c.connections}
+			for i := range c.homes {
+				g.Homes = append(g.Homes, fmt.Sprint(i))
+			}
+			got := Place(g, fleet(c.registered/5+1, "0", "1", "2", "3", "4"), c.registered)
+			must.Eq(t, c.everybody, got.Everybody)
+			must.Eq(t, c.share, got.Connections())
+			must.Eq(t, c.count, got.count)
+			if !c.everybody {
+				must.Len(t, c.count, got.Names)
+			}
+			must.LessEq(t, max(c.connections-Reserved, 1), got.Connections()*got.count)
+		})
+	}
+}
+
+// Carriers stand two by two in the data centres of the members, also where two members
+// share one; a data centre without instances is made up for by others.
+func TestCarriersAreNearTheMembers(t *testing.T) {
+	count := func(c Carriers) map[string]int {
+		in := make(map[string]int)
+		for _, name := range c.Names {
+			in[name[:1]]++
+		}
+		return in
+	}
+	all := fleet(50, "a", "b", "c", "d", "e")
+	must.Eq(t, map[string]int{"a": 2, "b": 2, "c": 2}, count(Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, all, 250)))
+	must.Eq(t, map[string]int{"a": 4, "b": 2}, count(Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "a", "b"}}, all, 250)))
+	gone := slices.DeleteFunc(slices.Clone(all), func(i ownership.Instance) bool { return i.DataCentre == "a" })
+	c := Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, gone, 250)
+	must.Len(t, 6, c.Names)
+	must.Greater(t, 1, count(c)["b"])
+}
+
+// One instance more or less moves only its own places.
+func TestPlacementIsStable(t *testing.T) {
+	all := fleet(50, "a", "b", "c", "d", "e")
+	g := Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}
+	before := Place(g, all, 250).Names
+	without := Place(g, slices.DeleteFunc(slices.Clone(all), func(i ownership.Instance) bool { return i.Name == before[0] }), 249).Names
+	kept := 0
+	for _, name := range without {
+		if slices.Contains(before, name) {
+			kept++
+		}
+	}
+	must.Eq(t, len(before)-1, kept)
+	rank, ok := Place(g, all, 250).Rank(before[1])
+	must.True(t, ok)
+	must.Eq(t, 1, rank)
+	_, ok = Place(g, all, 250).Rank("d-1")
+	must.False(t, ok)
+}
+
+func TestActive(t *testing.T) {
+	everybody := Place(Group{Name: "g", MaxConnections: 23}, nil, 9)
+	must.Eq(t, 1, everybody.Active(3, "a", "a"))
+	must.Eq(t, 2, Place(Group{Name: "g", MaxConnections: 23}, nil, 3).Active(3, "a", "a"))
+	must.Eq(t, 6, Place(Group{Name: "g", MaxConnections: 23}, nil, 1).Active(3, "a", "a"))
+	must.Eq(t, 1, Place(Group{Name: "g", MaxConnections: 23}, nil, 5).Active(0, "a", "a"))
+	few := Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, fleet(50, "a", "b", "c", "d"), 200)
+	must.Eq(t, 3, few.Active(3, "a", "a"), must.Sprint("two near carriers share the member"))
+	must.Eq(t, 1, few.Active(3, "a", "b"))
+	must.Eq(t, 1, few.Active(3, "d", "d"), must.Sprint("no carrier stands there"))
+}
+
+// A statement crosses once: the one that needs the primary goes to the primary's data
+// centre, others stay in the entry's where a carrier is there.
+func TestOrderOfCarriers(t *testing.T) {
+	carriers := fleet(2, "a", "b", "c")
+	same := func(i ownership.Instance) ownership.Instance { return i }
+	near := func(caller Caller, preferred string) []string {
+		var dcs []string
+		for _, i := range Order(carriers, same, caller, preferred)[:2] {
+			dcs = append(dcs, i.DataCentre)
+		}
+		return dcs
+	}
+	must.Eq(t, []string{"b", "b"}, near(Caller{"x", "a"}, "b"))
+	must.Eq(t, []string{"a", "a"}, near(Caller{"x", "a"}, "a"))
+	must.Eq(t, []string{"a", "a"}, near(Caller{"x", "a"}, "d"))
+	first := make(map[string]int)
+	for i := range 300 {
+		first[Order(carriers, same, Caller{fmt.Sprint(i), "d"}, "d")[0].Name]++
+	}
+	for _, i := range carriers {
+		must.Greater(t, 25, first[i.Name], must.Sprint("the callers of a data centre without members share all carriers"))
+	}
+}
+
+// full drives one member of 3 slots with half more than it can run, through some
+// carriers that have so many statements there at the most. It returns which part of the urgent statements,
+// a sixth of all, is answered within 150 ms.
+func full(carriers, active int) float64 {
+	const (
+		slots, work   = 3, 18 * time.Millisecond
+		arrivals      = 3000
+		gap           = 4 * time.Millisecond
+		held          = 62 * time.Millisecond // a quarter of the objective
+		objective     = 150 * time.Millisecond
+		urgent, other = "1", "2"
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	type item struct {
+		arrived time.Duration
+		urgent  bool
+		carrier int
+		request pool.Request
+	}
+	queues := make([]*pool.Queue, carriers)
+	for i := range queues {
+		queues[i] = pool.New(pool.Config{Capacity: active, MaxQueue: 64, Patient: true})
+	}
+	items := make(map[uint64]item)
+	var atMember []uint64
+	var running []uint64
+	ends := make(map[uint64]time.Duration)
+	inTime, all := 0, 0
+	for now, next := time.Duration(0), 0; next < arrivals || len(running) > 0; now += time.Millisecond {
+		for next < arrivals && time.Duration(next)*gap <= now {
+			it := item{arrived: now, urgent: random.IntN(6) == 0, carrier: random.IntN(carriers)}
+			it.request = pool.Request{ID: uint64(next), Service: other, Weight: 4, Deadline: now + held}
+			if it.urgent {
+				it.request.Service, it.request.Weight = urgent, 8
+				all++
+			}
+			items[it.request.ID] = it
+			if queues[it.carrier].Offer(now, it.request) == pool.Granted {
+				atMember = append(atMember, it.request.ID)
+			}
+			next++
+		}
+		for _, id := range slices.Clone(running) {
+			if ends[id] > now {
+				continue
+			}
+			running = slices.DeleteFunc(running, func(r uint64) bool { return r == id })
+			it := items[id]
+			queues[it.carrier].Done(it.request, work)
+			if it.urgent && now-it.arrived <= objective {
+				inTime++
+			}
+		}
+		for _, q := range queues {
+			granted, _ := q.Next(now)
+			for _, r := range granted {
+				atMember = append(atMember, r.ID)
+			}
+		}
+		for len(running) < slots && len(atMember) > 0 {
+			id := atMember[0]
+			atMember, running = atMember[1:], append(running, id)
+			ends[id] = now + work
+		}
+	}
+	return float64(inTime) / float64(all)
+}
+
+// The load: a member has half more work than it can run, as a primary whose replicas lag.
+// From 32 instances up to 29 statements wait there, and an urgent one behind them;
+// from 6 it waits behind 5.
+func TestUrgentStatementsPassAFullMember(t *testing.T) {
+	many, few := full(32, 1), full(6, 1)
+	t.Logf("urgent statements in time: %.2f through 32 instances, %.2f through 6", many, few)
+	must.Less(t, 0.7, many)
+	must.Greater(t, 0.95, few)
+}
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -1,101 +1,91 @@
 package relay
 
 import (
-	"hash/fnv"
+	"maps"
+	"slices"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/ownership"
+	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
-const (
-	// leastPool is the least number of connections to a member with which an
-	// instance can serve: one that a transaction holds, and one for everything else.
-	leastPool = 2
-	// sharedPool is how many a carrier has where not every instance can be one. A few
-	// larger pools need fewer connections in all than many small ones, so that there is
-	// room for new ones while those of instances that have just died take up to 3 s
-	// to go.
-	sharedPool = 4
-)
-
-// CarrierCount returns how many instances may hold connections of their own to
-// the members of a group. All others pass their callers' statements to these.
-func CarrierCount(maxConnections, instances int) int {
-	usable := maxConnections - reservedConnections
-	if usable/leastPool >= instances {
-		return max(1, instances) // none is known while an instance starts
-	}
-	return max(1, usable/sharedPool)
-}
-
-// Carriers are the instances that hold connections to a group's members.
+// Carriers are the instances that hold connections to a group's members, as one
+// instance sees them.
 type Carriers struct {
+	placement.Carriers
 	Here   bool            // this instance is one of them
-	Others []lead.Instance // the others, in the order in which this instance uses them
+	Others []lead.Instance // the others
+}
+
+// Groups returns what placement needs to know of the groups, by name.
+func Groups(snap *topology.Snapshot) []placement.Group {
+	groups := make([]placement.Group, 0, len(snap.Groups))
+	for _, name := range slices.Sorted(maps.Keys(snap.Groups)) {
+		g := placement.Group{Name: name, MaxConnections: snap.Groups[name].MaxConnections}
+		for _, m := range snap.ByGroup[name] {
+			g.Homes = append(g.Homes, m.DataCentre)
+		}
+		groups = append(groups, g)
+	}
+	return groups
 }
 
-// Place returns the carriers of each group, as one instance sees them. All compute
-// the same set from the same list, by rendezvous hashing. Each uses those of its
-// data centre first, and begins with another one. registered is how many may use
-// connections; where all of them can, this instance does whether its lease holds
-// or not.
-func Place(snap *topology.Snapshot, self lead.Instance, alive []lead.Instance, registered int) map[string]Carriers {
-	placement := make(map[string]Carriers, len(snap.Groups))
+// Place returns the carriers of each group, as one instance sees them. registered is
+// how many may use connections; where all of them can, this instance does whether its
+// lease holds or not.
+func Place(groups []placement.Group, self lead.Instance, alive []lead.Instance, registered int) map[string]Carriers {
+	placed := make(map[string]Carriers, len(groups))
 	byName := make(map[string]lead.Instance, len(alive))
 	candidates := make([]ownership.Instance, 0, len(alive))
 	for _, i := range alive {
 		byName[i.Name] = i
-		candidates = append(candidates, ownership.Instance{Name: i.Name, DataCentre: i.DataCentre})
+		candidates = append(candidates, candidate(i))
 	}
-	for name, group := range snap.Groups {
-		var c Carriers
-		count := CarrierCount(group.MaxConnections, registered)
-		c.Here = count >= registered
-		var near, far []lead.Instance
-		for _, carrier := range ownership.Rank(ownership.Group{Name: name}, candidates)[:min(count, len(candidates))] {
-			switch i := byName[carrier]; {
-			case carrier == self.Name:
-				c.Here = true
-			case i.DataCentre == self.DataCentre:
-				near = append(near, i)
-			default:
-				far = append(far, i)
+	for _, group := range groups {
+		c := Carriers{Carriers: placement.Place(group, candidates, registered)}
+		c.Here = c.Includes(self.Name)
+		for _, name := range c.Names {
+			if name != self.Name {
+				c.Others = append(c.Others, byName[name])
 			}
 		}
-		c.Others = append(rotate(near, self.Name), rotate(far, self.Name)...)
-		placement[name] = c
+		placed[group.Name] = c
 	}
-	return placement
+	return placed
 }
 
-// rotate begins a list at a place that depends on a name.
-func rotate(list []lead.Instance, name string) []lead.Instance {
-	if len(list) == 0 {
-		return nil
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name)) // a hash never fails
-	start := int(h.Sum32() % uint32(len(list)))
-	return append(append([]lead.Instance(nil), list[start:]...), list[:start]...)
+func candidate(i lead.Instance) ownership.Instance {
+	return ownership.Instance{Name: i.Name, DataCentre: i.DataCentre}
 }
 
 // SetCarriers makes a placement known to the traffic.
-func (r *Relay) SetCarriers(placement map[string]Carriers) { r.carriers.Store(&placement) }
+func (r *Relay) SetCarriers(placed map[string]Carriers) { r.carriers.Store(&placed) }
 
-// carriersOf returns the carriers of a group. While nothing is known of it this
+// CarriersOf returns the carriers of a group. While nothing is known of it this
 // instance is one.
-func (r *Relay) carriersOf(group string) Carriers {
-	placement := r.carriers.Load()
-	if placement == nil {
+func (r *Relay) CarriersOf(group string) Carriers {
+	placed := r.carriers.Load()
+	if placed == nil {
 		return Carriers{Here: true}
 	}
-	c, ok := (*placement)[group]
+	c, ok := (*placed)[group]
 	if !ok || len(c.Others) == 0 {
-		return Carriers{Here: true}
+		c.Here = true
 	}
 	return c
 }
 
 // Carries reports whether this instance holds connections to a group's members.
-func (r *Relay) Carries(group string) bool { return r.carriersOf(group).Here }
+func (r *Relay) Carries(group string) bool { return r.CarriersOf(group).Here }
+
+// carrierOrder returns the carriers in the order in which a statement is passed to
+// them. One that needs the primary goes to the primary's data centre, so that it
+// crosses to another only once, and so that what waits for the primary waits at few instances.
+func (r *Relay) carrierOrder(c Carriers, group string, needsPrimary bool) []lead.Instance {
+	preferred := r.near
+	if authority, err := r.Gate(group).Authority(); err == nil && needsPrimary {
+		preferred = r.snapshot().Members[authority.Primary].DataCentre
+	}
+	return placement.Order(c.Others, candidate, placement.Caller{Name: r.self, DataCentre: r.near}, preferred)
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -98,8 +98,9 @@
 	if !known {
 		return statement.Failure(statement.Idle, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
 	}
-	if carriers := s.relay.carriersOf(route.Group); !carriers.Here && !s.carried {
-		return s.carry(st, route, carriers.Others, arrived)
+	if carriers := s.relay.CarriersOf(route.Group); !carriers.Here && !s.carried {
+		needsPrimary := !s.reads(st) || route.Consistency == topology.Strict
+		return s.carry(st, route, s.relay.carrierOrder(carriers, route.Group, needsPrimary), arrived)
 	}
 	a := &attempt{
 		s: s, st: st, needed: needed, route: route,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,7 +18,8 @@
 // Relay is what the sessions of an instance share. It is safe for concurrent use.
 type Relay struct {
 	started   time.Time
-	near      string // the instance's data centre
+	self      string // the instance's name
+	near      string // its data centre
 	topology  func() *topology.Snapshot
 	upstreams *Upstreams
 	log       *logrus.Entry
@@ -35,9 +36,9 @@
 
 // New returns a relay of an instance in a data centre, whose times count from
 // started, on the steady clock.
-func New(started time.Time, dataCentre string, topology func() *topology.Snapshot, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
+func New(started time.Time, self lead.Instance, topology func() *topology.Snapshot, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
 	r := &Relay{
-		started: started, near: dataCentre, topology: topology, upstreams: upstreams, log: log, set: set,
+		started: started, self: self.Name, near: self.DataCentre, topology: topology, upstreams: upstreams, log: log, set: set,
 		gates: make(map[string]*lead.Gate),
 	}
 	r.carrierConns = newCarrierConns(conns, r.now)
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -38,6 +38,8 @@
 	// just started, while those of dead ones take up to 3 s to go.
 	unusedFor = 600 * time.Millisecond
 	keepOpen  = 1
+	// ShrinkInterval is the pause between two looks for such.
+	ShrinkInterval = unusedFor / 3
 	// patience is how long a request waits for a connection in use before another
 	// is opened, which itself takes a slot of the member for 12 ms.
 	patience = 10 * time.Millisecond
@@ -109,9 +111,9 @@
 	}
 }
 
-// Update takes in the members as they are now. instances is how many share each
-// member's connections.
-func (u *Upstreams) Update(snap *topology.Snapshot, instances int) {
+// Update takes in the members as they are now, and how much of each an instance in a
+// data centre may use.
+func (u *Upstreams) Update(snap *topology.Snapshot, placed map[string]Carriers, dataCentre string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, up := range u.members {
@@ -126,32 +128,16 @@
 			up = u.newUpstream(m)
 			u.members[id] = up
 		}
-		up.pool.SetCapacity(Share(snap.Groups[m.Group].MaxConnections, instances))
-		up.pool.SetMaxActive(ActiveShare(m.Slots, CarrierCount(snap.Groups[m.Group].MaxConnections, instances)))
+		if carriers, ok := placed[m.Group]; ok {
+			up.pool.SetCapacity(carriers.Connections())
+			up.pool.SetMaxActive(carriers.Active(m.Slots, m.DataCentre, dataCentre))
+		}
 		up.mu.Lock()
 		up.draining = m.Draining
 		up.mu.Unlock()
 	}
 }
 
-// reservedConnections of each member stay free for questions about its state and
-// for the connections of instances that have just died.
-const reservedConnections = 2
-
-// Share returns how many of a member's connections one carrier may use, of all
-// instances.
-func Share(maxConnections, instances int) int {
-	return max(1, (maxConnections-reservedConnections)/CarrierCount(maxConnections, instances))
-}
-
-// ActiveShare returns how many statements one carrier may have running at a
-// member outside transactions. All carriers together keep the member's slots
-// busy with some in reserve; more would only wait there, in no order.
-func ActiveShare(slots, carriers int) int {
-	const perSlot = 2 // one that runs, and one on its way or waiting
-	return max(1, (perSlot*slots+carriers-1)/max(1, carriers))
-}
-
 func (u *Upstreams) newUpstream(m topology.Member) *upstream {
 	up := &upstream{id: m.ID, group: m.Group, address: m.Address, draining: m.Draining, behind: -1}
 	cfg := connpool.Config{
