Carriers: one that has just started takes no statement

An entry asks for its configuration first, a carrier did not. Ruled out by reading: the list of the store in two pages (the configuration is on the first), a document without routes. Now a carrier takes statements once it is registered, and none for a database that it does not know; the entry turns to another.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -152,6 +152,7 @@
 	}
 	if view.IsAlive(i.self.Name, i.self.Incarnation) && !i.stopping.Load() {
 		i.registeredOnce.Store(true)
+		i.relay.StartCarrying()
 		i.heardAt.Store(int64(c.Confirmed))
 		i.relay.Gates(func(_ string, g *lead.Gate) { g.Confirm(c.Confirmed) })
 	}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -80,7 +80,7 @@
 	carried.mu.Lock()
 	defer carried.mu.Unlock()
 	if s := carried.session; s == nil || s.tx == nil && s.lost == "" {
-		if c.isStopping() {
+		if c.isStopping() || !c.relay.canCarry(req.Database) {
 			return &relaypb.CarryReply{Stopping: true}
 		}
 		carried.session = newSession(c.relay, req.Database)
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -89,3 +89,15 @@
 	}
 	return placement.Order(c.Others, candidate, placement.Caller{Name: r.self, DataCentre: r.near}, preferred)
 }
+
+// StartCarrying lets this instance run statements for others. Before that it has not
+// read the store, or holds no grants, and those that still know its address from an
+// earlier process turn to other carriers.
+func (r *Relay) StartCarrying() { r.carrying.Store(true) }
+
+// canCarry reports whether this instance can run statements for a database. That it knows of
+// none by that name says nothing: the one that asks may have a newer configuration.
+func (r *Relay) canCarry(database string) bool {
+	_, known := r.snapshot().Databases[database]
+	return known && r.carrying.Load()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,7 @@
 
 	carriers     atomic.Pointer[map[string]Carriers] // by group
 	carrierConns *carrierConns
+	carrying     atomic.Bool // statements of other instances may be run here
 
 	mu    sync.Mutex // guards gates
 	gates map[string]*lead.Gate
