Attestation: later, and a few questions at a time, where few instances use a group

Where few use a group the members verify for 1.5 s first, which a question to each does; a round asks 16 at a time and has 3 ms for each.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -79,6 +79,12 @@
 	// the other instances are asked: more than passes between two confirmations where
 	// the store answers, and little less than grants are confirmed for.
 	attestAfter = lead.GrantValidity - 300*time.Millisecond
+	// attestLater is the same where few instances use each group. The members verify for
+	// them meanwhile, a question to each that all statements share. A round among 295
+	// instances keeps a weak one busy for half a second and more, and a store that has forgotten its
+	// history leaves grants unconfirmed for 2.8 s: all carriers asked at once, and a second
+	// of the fleet's traffic got no answer.
+	attestLater = lead.GrantValidity + 1500*time.Millisecond
 	// attestEvery is the pause after a round that found a quorum: there is time for
 	// two more before what it has attested lapses.
 	attestEvery = lead.GrantValidity / 2
@@ -96,14 +102,17 @@
 func (i *Instance) attest() {
 	now := i.now()
 	heard, asked := time.Duration(i.heardAt.Load()), time.Duration(i.askedAt.Load())
-	pause := attestEvery
+	pause, after := attestEvery, attestAfter
+	if !i.everybodyCarries() {
+		after = attestLater
+	}
 	switch {
 	case !i.carriesAny():
 		pause = attestIdle
 	case time.Duration(i.attestAt.Load()) < asked:
 		pause = minAttestAgain << min(i.attestFailures.Load(), maxAttestDoublings)
 	}
-	if !i.registeredOnce.Load() || now-heard < attestAfter || now-asked < pause || i.attesting.Swap(true) {
+	if !i.registeredOnce.Load() || now-heard < after || now-asked < pause || i.attesting.Swap(true) {
 		return
 	}
 	i.askedAt.Store(int64(now))
@@ -129,6 +138,16 @@
 	return i.placed == nil
 }
 
+// everybodyCarries reports whether each instance uses all groups.
+func (i *Instance) everybodyCarries() bool {
+	for _, c := range i.placed {
+		if !c.Everybody {
+			return false
+		}
+	}
+	return true
+}
+
 // takeIn puts a change in force.
 func (i *Instance) takeIn(state *topology.State, c change) {
 	view, err := i.applyView(c)
--- a/internal/lead/attest.go
+++ b/internal/lead/attest.go
@@ -13,16 +13,21 @@
 	"github.com/stackspindle/stackspindle/internal/ownership"
 )
 
-// attestTimeout bounds the questions of one round.
-const attestTimeout = 300 * time.Millisecond
+// Settings of the questions of one round.
+const (
+	// attestTimeout bounds a round, with attestEach for each instance asked: a weak one
+	// that has to open the connections first takes some 3 ms for each.
+	attestTimeout = 300 * time.Millisecond
+	attestEach    = 3 * time.Millisecond
+	// attestAtOnce is how many questions are under way at a time, so that statements have their turn.
+	attestAtOnce = 16
+)
 
 // Attest asks the registered instances whether they know of anything newer than
 // the records here, and confirms the grants for which a quorum does not. It is
 // called while the store does not answer this instance. It returns when the
 // questions were sent and whether a quorum answered at all.
 func (c *Controller) Attest(ctx context.Context) (time.Duration, bool) {
-	ctx, cancel := context.WithTimeout(ctx, attestTimeout)
-	defer cancel()
 	registered := c.around.View().Registered(c.now())
 	needed := AttestQuorum(len(registered))
 	req := &leadpb.AttestRequest{From: c.self.Name}
@@ -40,7 +45,12 @@
 	if !c.attestAll.Load() {
 		asked = attestors(registered, c.self, needed)
 	}
+	ctx, cancel := context.WithTimeout(ctx, attestTimeout+time.Duration(len(asked))*attestEach)
+	defer cancel()
+	turns := make(chan struct{}, attestAtOnce)
 	c.askOthers(asked, func(_ Instance, client leadpb.CoordinationClient) error {
+		turns <- struct{}{}
+		defer func() { <-turns }()
 		reply, err := client.Attest(ctx, req)
 		if err == nil {
 			round.note(reply)
