--- a/cmd/stackspindle/main.go
+++ b/cmd/stackspindle/main.go
@@ -1,4 +1,4 @@
-// Command stackspindle is a PostgreSQL proxy with session consistency.
+// Command stackspindle is a database proxy with session consistency.
 package main
 
 import (
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -31,7 +31,7 @@
 func New(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:   "stackspindle",
-		Usage:  "a PostgreSQL proxy with session consistency, for very many tiny services",
+		Usage:  "a database proxy with session consistency, for very many tiny services: PostgreSQL, and the line protocol of its users' platform",
 		Writer: out,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagLogFormat, Value: "text", Usage: "text or json"},
