Feed: a removal that a watcher never saw reaches those who follow it

Cause: a watcher that reads the store anew learns nothing of a key that came and went meanwhile, and told one that had seen the key come only what changed since; that one held the key for ever. Now who follows from before such a reading is sent everything.

--- a/internal/feed/mirror.go
+++ b/internal/feed/mirror.go
@@ -80,6 +80,7 @@
 	}
 	if p.Whole && p.Revision >= m.revision {
 		m.removeAllBut(p)
+		m.horizon = max(m.horizon, p.Revision) // keys that came and went unseen before it
 	}
 	news := Picture{Whole: p.Whole && p.Revision >= m.revision, Revision: max(m.revision, p.Revision), Confirmed: p.Confirmed}
 	for _, e := range p.Events {
