Accounts and keys: callers prove who they are, and a connection belongs to an account

The pool lends a connection to its own account only and closes the one that has been idle for longest to make room for another's.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -1,6 +1,10 @@
 // Package connpool shares the connections to one member among requests. It is
 // the same for every protocol: what a connection is, how it is opened and when
 // it is clean enough to be shared again is told by a type parameter.
+//
+// A connection belongs to the account for which it was opened and serves requests of
+// that account only. While as many exist as may be used, the one that has been idle
+// for longest is closed to make room for another account's.
 package connpool
 
 import (
@@ -53,14 +57,15 @@
 // whoever acquired it.
 type Pool[C Conn] struct {
 	cfg   Config
-	open  func(ctx context.Context) (C, error)
+	open  func(ctx context.Context, account string) (C, error)
 	now   func() time.Duration
 	dials chan struct{} // holds a token for each dial in progress
 
 	mu       sync.Mutex
 	queue    *pool.Queue
-	idle     []idle[C] // the one used last comes last
-	all      map[any]C // by themselves
+	idle     []idle[C]        // the one used last comes last
+	all      map[any]owned[C] // by the connection
+	owned    map[string]int   // how many of them each account has
 	waiters  map[uint64]chan struct{}
 	nextID   uint64
 	freed    chan struct{} // closed, and replaced, when a connection comes free
@@ -70,15 +75,22 @@
 	done     chan struct{}
 }
 
+// owned is a connection with the account that it belongs to.
+type owned[C Conn] struct {
+	conn    C
+	account string
+}
+
 // New returns an empty pool. Connections are opened when needed.
-func New[C Conn](cfg Config, open func(ctx context.Context) (C, error), now func() time.Duration) *Pool[C] {
+func New[C Conn](cfg Config, open func(ctx context.Context, account string) (C, error), now func() time.Duration) *Pool[C] {
 	return &Pool[C]{
 		cfg:     cfg,
 		open:    open,
 		now:     now,
 		dials:   make(chan struct{}, cfg.Dials),
 		queue:   pool.New(cfg.Queue),
-		all:     make(map[any]C),
+		all:     make(map[any]owned[C]),
+		owned:   make(map[string]int),
 		waiters: make(map[uint64]chan struct{}),
 		freed:   make(chan struct{}),
 		done:    make(chan struct{}),
@@ -263,12 +275,12 @@
 func (p *Pool[C]) connect(ctx context.Context, r pool.Request, prefer func(C) int) (*Lease[C], error) {
 	lease := &Lease[C]{pool: p, request: r, since: p.now()}
 	for {
-		conn, ok, freed, wait := p.takeIdle(prefer)
+		conn, ok, freed, wait := p.takeIdle(r.Account, prefer)
 		if ok {
 			lease.Conn = conn
 			return lease, nil
 		}
-		if p.Open() > 0 {
+		if p.openFor(r.Account) > 0 {
 			wait = max(wait, lease.since+p.cfg.Patience-p.now())
 		}
 		if wait <= 0 {
@@ -286,11 +298,12 @@
 		return nil, ctx.Err()
 	}
 	defer func() { <-p.dials }()
-	if conn, ok, _, _ := p.takeIdle(prefer); ok {
+	if conn, ok, _, _ := p.takeIdle(r.Account, prefer); ok {
 		lease.Conn = conn
 		return lease, nil
 	}
-	conn, err := p.dial(ctx)
+	p.makeRoom()
+	conn, err := p.dial(ctx, r.Account)
 	if err != nil {
 		lease.GiveBack()
 		return nil, err
@@ -300,9 +313,9 @@
 }
 
 // awaitFreed waits until a connection may have come free, or a dial may be tried
-// again. Without a connection in existence there is nothing to wait for.
+// again. Without a connection of the account there is nothing to wait for.
 func (p *Pool[C]) awaitFreed(ctx context.Context, r pool.Request, freed <-chan struct{}, wait time.Duration) error {
-	if p.Open() == 0 {
+	if p.openFor(r.Account) == 0 {
 		return ErrBackoff
 	}
 	left := r.Deadline - p.now()
@@ -325,10 +338,10 @@
 // maxDoublings keeps the backoff's shift in range.
 const maxDoublings = 10
 
-func (p *Pool[C]) dial(ctx context.Context) (C, error) {
+func (p *Pool[C]) dial(ctx context.Context, account string) (C, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
-	conn, err := p.open(ctx)
+	conn, err := p.open(ctx, account)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -341,10 +354,31 @@
 		conn.Kill()
 		return conn, ErrClosed
 	}
-	p.all[conn] = conn
+	p.all[conn] = owned[C]{conn: conn, account: account}
+	p.owned[account]++
 	return conn, nil
 }
 
+// forget ends a connection. The caller holds mu.
+func (p *Pool[C]) forget(conn C) {
+	conn.Kill()
+	known, ok := p.all[conn]
+	if !ok {
+		return
+	}
+	delete(p.all, conn)
+	if p.owned[known.account]--; p.owned[known.account] == 0 {
+		delete(p.owned, known.account)
+	}
+}
+
+// openFor returns how many connections of an account exist.
+func (p *Pool[C]) openFor(account string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.owned[account]
+}
+
 // GiveBack ends a lease that holds no connection.
 func (l *Lease[C]) GiveBack() {
 	l.pool.mu.Lock()
@@ -364,12 +398,11 @@
 	defer p.mu.Unlock()
 	switch {
 	case clean && !p.closed:
-		p.idle = append(p.idle, idle[C]{conn: l.Conn, since: p.now()})
+		p.idle = append(p.idle, idle[C]{conn: l.Conn, account: l.request.Account, since: p.now()})
 		close(p.freed)
 		p.freed = make(chan struct{})
 	default:
-		l.Conn.Kill()
-		delete(p.all, l.Conn)
+		p.forget(l.Conn)
 	}
 	l.end()
 }
@@ -383,8 +416,8 @@
 	}
 	p.closed = true
 	close(p.done)
-	for _, conn := range p.all {
-		conn.Kill()
+	for _, o := range p.all {
+		o.conn.Kill()
 	}
 	p.idle = nil
 }
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -16,6 +16,8 @@
 	dead  atomic.Bool
 	dirty bool
 	label int
+
+	account string // for which it was opened
 }
 
 func (c *fakeConn) Alive() bool { return !c.dead.Load() }
@@ -30,11 +32,11 @@
 
 var errLimit = errors.New("no more connections")
 
-func (d *dialer) open(context.Context) (*fakeConn, error) {
+func (d *dialer) open(_ context.Context, account string) (*fakeConn, error) {
 	if d.opened.Load() >= d.limit {
 		return nil, errLimit
 	}
-	return &fakeConn{label: int(d.opened.Add(1))}, nil
+	return &fakeConn{label: int(d.opened.Add(1)), account: account}, nil
 }
 
 const never = time.Hour // no test waits for it
--- a/internal/connpool/idle.go
+++ b/internal/connpool/idle.go
@@ -4,39 +4,67 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/stackspindle/stackspindle/internal/account"
 )
 
 // idle is a connection that nobody uses.
 type idle[C Conn] struct {
-	conn  C
-	since time.Duration
+	conn    C
+	account string // that it belongs to
+	since   time.Duration
 }
 
-// takeIdle takes the idle connection that prefer ranks highest, the one used
-// last among equals. Without one it returns for how long no dial may be tried,
+// takeIdle takes the idle connection of an account that prefer ranks highest, the one
+// used last among equals. Without one it returns for how long no dial may be tried,
 // and what tells of a connection that comes free.
-func (p *Pool[C]) takeIdle(prefer func(C) int) (C, bool, <-chan struct{}, time.Duration) {
+func (p *Pool[C]) takeIdle(account string, prefer func(C) int) (C, bool, <-chan struct{}, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		best := len(p.idle) - 1
-		if prefer != nil {
-			for i := best - 1; i >= 0; i-- {
-				if prefer(p.idle[i].conn) > prefer(p.idle[best].conn) {
-					best = i
-				}
-			}
+	for {
+		best := p.bestIdle(account, prefer)
+		if best < 0 {
+			var none C
+			return none, false, p.freed, max(0, p.retryAt-p.now())
 		}
 		conn := p.idle[best].conn
-		p.idle = append(p.idle[:best], p.idle[best+1:]...)
+		p.idle = slices.Delete(p.idle, best, best+1)
 		if conn.Alive() {
 			return conn, true, nil, 0
 		}
-		conn.Kill()
-		delete(p.all, conn)
+		p.forget(conn)
+	}
+}
+
+// bestIdle returns the place of the account's idle connection that prefer ranks
+// highest, negative when it has none. The caller holds mu.
+func (p *Pool[C]) bestIdle(account string, prefer func(C) int) int {
+	best, rank := -1, 0
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].account != account {
+			continue
+		}
+		if prefer == nil {
+			return i
+		}
+		if r := prefer(p.idle[i].conn); best < 0 || r > rank {
+			best, rank = i, r
+		}
 	}
-	var none C
-	return none, false, p.freed, max(0, p.retryAt-p.now())
+	return best
+}
+
+// makeRoom closes the connections that have been idle for longest until a further
+// one can be opened within the capacity. What holds a grant is counted as using a
+// connection, also while it opens one.
+func (p *Pool[C]) makeRoom() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	surplus := p.queue.InUse() + len(p.idle) - p.queue.Capacity()
+	p.dropIdle(func(idle[C]) bool {
+		surplus--
+		return surplus >= 0
+	})
 }
 
 // DropIdle closes the connections that nobody uses.
@@ -67,8 +95,7 @@
 		if !drop(i) {
 			return false
 		}
-		i.conn.Kill()
-		delete(p.all, i.conn)
+		p.forget(i.conn)
 		return true
 	})
 }
@@ -83,7 +110,7 @@
 		case <-p.done:
 			return
 		}
-		conn, err := p.dial(ctx)
+		conn, err := p.dial(ctx, account.Anonymous)
 		<-p.dials
 		if err != nil {
 			return
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -166,6 +166,7 @@
 		}
 		i.share(i.topology.Load())
 	}
+	i.pictureAt.Store(max(i.pictureAt.Load(), int64(c.Confirmed)))
 	if c.Whole {
 		i.knownOnce.Do(func() { close(i.known) })
 	}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -101,6 +101,7 @@
 	askedAt        atomic.Int64 // when the last round was begun
 	attestFailures atomic.Int64 // rounds in a row that no quorum answered
 	attestAt       atomic.Int64 // when the last round that a quorum answered was begun
+	pictureAt      atomic.Int64 // when the last store call was sent, by whomever, that showed nothing newer than the picture
 	heardAt        atomic.Int64 // when the last store call was sent, by whomever, that confirmed the grants
 	registeredOnce atomic.Bool
 	stopping       atomic.Bool
@@ -161,7 +162,7 @@
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
-	i.relay = relay.New(i.started, i.self, i.topology.Load, i.upstreams, i.conns, i.part("relay"), i.set)
+	i.relay = relay.New(i.started, i.self, i.topology.Load, i.current, i.upstreams, i.conns, i.part("relay"), i.set)
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
 		return nil, err
 	}
@@ -256,6 +257,12 @@
 		i.now()-confirmed < readyWithout
 }
 
+// current reports whether the picture of the store was confirmed within the time in
+// which a configuration must be in force.
+func (i *Instance) current() bool {
+	return i.now()-time.Duration(i.pictureAt.Load()) < i.settings.StoreSilence
+}
+
 // informed reports whether the store was read.
 func (i *Instance) informed() bool {
 	select {
--- a/internal/lead/ask.go
+++ b/internal/lead/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/account"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -11,7 +12,7 @@
 func (c *Controller) connect(ctx context.Context, m topology.Member) (member.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return c.dialer.Dial(ctx, m)
+	return c.dialer.Dial(ctx, m, account.Anonymous)
 }
 
 // found is what a member said of itself.
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/stackspindle/stackspindle/internal/account"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/member"
@@ -441,7 +442,7 @@
 		c.hangUp(g)
 		dialCtx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
-		conn, err := c.dialer.Dial(dialCtx, m)
+		conn, err := c.dialer.Dial(dialCtx, m, account.Anonymous)
 		if err != nil {
 			return member.Status{}, err
 		}
--- a/internal/member/conn.go
+++ b/internal/member/conn.go
@@ -70,8 +70,10 @@
 	Close()
 }
 
-// Dialer opens connections to members. An error of type *statement.Error is the
-// member's refusal.
+// Dialer opens connections to members. A connection belongs to one client account
+// for as long as it lives, since the member is told the account when it begins;
+// account.Anonymous stands for callers without one and for the fleet's own
+// questions. An error of type *statement.Error is the member's refusal.
 type Dialer interface {
-	Dial(ctx context.Context, m topology.Member) (Conn, error)
+	Dial(ctx context.Context, m topology.Member, account string) (Conn, error)
 }
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -29,6 +29,7 @@
 type Request struct {
 	ID       uint64
 	Service  string
+	Account  string        // whose connection is wanted, where connections belong to accounts
 	Level    int           // of importance; a pause holds requests of its level and above
 	Weight   int           // share of the service under contention, at least 1
 	Limit    int           // connections the service may use at once, 0: no bound
@@ -103,6 +104,9 @@
 // Unpark ends what Park began.
 func (q *Queue) Unpark() { q.parked-- }
 
+// Capacity returns how many connections may be used at once.
+func (q *Queue) Capacity() int { return q.cfg.Capacity }
+
 // InUse returns how many connections are granted.
 func (q *Queue) InUse() int { return q.inUse }
 
--- /dev/null
+++ b/internal/relay/admit_test.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/account"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// declare puts a configuration with accounts in force, each with a key named like it.
+func (b *bench) declare(version int64, accounts ...string) {
+	declared := make([]account.Account, 0, len(accounts))
+	for _, name := range accounts {
+		declared = append(declared, account.Account{Name: name, Keys: []account.Key{account.NewKey("key-" + name)}, Limit: account.Limit{Rate: 1e9, Burst: 1e9}})
+	}
+	b.setConfig(version, account.NewDirectory(declared))
+}
+
+func (b *bench) setConfig(version int64, accounts *account.Directory) {
+	state := topology.New(0, 0)
+	config := b.relay.snapshot().Config
+	config.Version, config.Accounts = version, accounts
+	config.Routes = append(config.Routes[:3:3], topology.Route{
+		Name: "p", Database: "open", Group: "g", Public: true, Timeout: generous, LatencyObjective: generous,
+	})
+	state.SetConfig(config)
+	for _, id := range []string{"m1", "m2"} {
+		state.SetMember(0, b.group.Entry(id), false)
+	}
+	snap := state.Snapshot()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.snap = snap
+}
+
+func withKey(database, name string) Start {
+	return Start{Database: database, Key: account.NewKey("key-" + name)}
+}
+
+func TestAdmit(t *testing.T) {
+	b := newBench(t)
+	b.declare(2, "a", "b")
+	for name, c := range map[string]struct {
+		start   Start
+		current bool
+		account string
+		code    statement.Code
+	}{
+		"a key of an account":             {withKey("strict", "a"), true, "a", 0},
+		"an unknown key":                  {withKey("strict", "c"), true, "", statement.Unauthenticated},
+		"no key":                          {Start{Database: "strict"}, true, "", statement.Unauthenticated},
+		"no key on a public route":        {Start{Database: "open"}, true, account.Anonymous, 0},
+		"a key on a public route":         {withKey("open", "a"), true, account.Anonymous, 0},
+		"no route":                        {withKey("none", "a"), true, "", statement.NoDatabase},
+		"neither route nor key":           {withKey("none", "c"), true, "", statement.NoDatabase},
+		"unknown while nothing was heard": {withKey("strict", "c"), false, "", statement.Busy},
+		"known while nothing was heard":   {withKey("strict", "a"), false, "a", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b.relay.current = func() bool { return c.current }
+			_, got, refusal := b.relay.admit(c.start)
+			if c.code == 0 {
+				must.Nil(t, refusal)
+				must.Eq(t, c.account, got)
+				return
+			}
+			must.Eq(t, c.code, refusal.Code)
+			must.Eq(t, c.code == statement.Busy, refusal.RetryAfter > 0)
+		})
+	}
+}
+
+// A key that is taken away ends what its open sessions may do: the next statement is
+// refused, and an open transaction is rolled back.
+func TestKeyTakenAway(t *testing.T) {
+	b := newBench(t)
+	b.declare(2, "a", "b")
+	idle, open := newSession(b.relay, withKey("strict", "a")), newSession(b.relay, withKey("strict", "a"))
+	must.Nil(t, b.run(idle, statement.Write, "WRITE 1 x").Err)
+	b.run(open, statement.Begin, "BEGIN")
+	must.Nil(t, b.run(open, statement.Write, "WRITE 2 x").Err)
+	b.declare(3, "b")
+	must.Eq(t, statement.Unauthenticated, b.run(idle, statement.Write, "WRITE 3 x").Err.Code)
+	answer := b.run(open, statement.Commit, "COMMIT")
+	must.Eq(t, statement.Aborted, answer.Err.Code)
+	must.Eq(t, statement.Idle, answer.State)
+	must.Eq(t, statement.Unauthenticated, b.run(open, statement.Read, "READ 1").Err.Code)
+	must.Len(t, 1, b.group.Log())
+	must.Nil(t, b.run(newSession(b.relay, withKey("strict", "b")), statement.Write, "WRITE 4 x").Err)
+}
+
+// A key that passes to another account brings its open sessions along, from the next
+// transaction on.
+func TestKeyMovesToAnotherAccount(t *testing.T) {
+	b := newBench(t)
+	b.declare(2, "a", "b")
+	s := newSession(b.relay, withKey("strict", "a"))
+	b.run(s, statement.Begin, "BEGIN")
+	b.setConfig(3, account.NewDirectory([]account.Account{{Name: "b", Keys: []account.Key{account.NewKey("key-a")}, Limit: account.Limit{Rate: 1e9, Burst: 1e9}}}))
+	must.Nil(t, b.run(s, statement.Write, "WRITE 1 x").Err)
+	must.Nil(t, b.run(s, statement.Commit, "COMMIT").Err)
+	must.Nil(t, b.run(s, statement.Write, "WRITE 2 x").Err)
+	runs := b.group.Runs()
+	must.Eq(t, "a", runs[len(runs)-2].Account)
+	must.Eq(t, "b", runs[len(runs)-1].Account)
+}
+
+// However sessions of several accounts use the same members: each statement reaches
+// them on a connection of its own account.
+func TestStatementsReachMembersAsTheirAccount(t *testing.T) {
+	b := newBench(t)
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	b.declare(2, names...)
+	var work sync.WaitGroup
+	for _, name := range names {
+		for _, database := range []string{"strict", "bounded"} {
+			work.Go(func() {
+				s := newSession(b.relay, withKey(database, name))
+				for n := range 50 {
+					s.handle(statement.Statement{ID: name + fmt.Sprint(n), Kind: statement.Read, Text: "READ 1"}, b.relay.now())
+				}
+			})
+		}
+	}
+	work.Wait()
+	runs := b.group.Runs()
+	must.Positive(t, len(runs))
+	for _, run := range runs {
+		must.Eq(t, run.Account, run.ID[:1], must.Sprintf("%+v", run))
+	}
+}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -83,8 +83,9 @@
 		if c.isStopping() || !c.relay.canCarry(req.Database) {
 			return &relaypb.CarryReply{Stopping: true}
 		}
-		carried.session = newSession(c.relay, req.Database)
+		carried.session = newSession(c.relay, Start{Database: req.Database})
 		carried.session.carried = true
+		carried.session.account = req.Account
 		carried.session.floor = decodePosition(req.Floor)
 	}
 	s := carried.session
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -107,7 +107,7 @@
 func (s *session) carryRequest(st statement.Statement, arrived time.Duration) *relaypb.CarryRequest {
 	named := s.names[st.Name]
 	return &relaypb.CarryRequest{
-		Database: s.database, Id: st.ID, Text: st.Text, Kind: int32(st.Kind), Name: st.Name, Args: st.Args,
+		Database: s.start.Database, Account: s.account, Id: st.ID, Text: st.Text, Kind: int32(st.Kind), Name: st.Name, Args: st.Args,
 		Writes: named.writes, Shape: named.shape, Values: s.values, Floor: encodePosition(s.floor),
 		ElapsedUs: (s.relay.now() - arrived).Microseconds(),
 	}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -60,6 +60,7 @@
 	st       statement.Statement
 	needed   *member.Prepared
 	route    topology.Route
+	account  string // whose connections it may use
 	group    *groupState
 	gate     *lead.Gate
 	arrived  time.Duration
@@ -89,10 +90,9 @@
 
 // first runs a statement outside a transaction, or opens one.
 func (s *session) first(st statement.Statement, arrived time.Duration) statement.Answer {
-	snap := s.relay.snapshot()
-	route, ok := snap.Databases[s.database]
-	if !ok {
-		return statement.Failure(statement.Idle, statement.NoDatabase, "no route leads to database %q", s.database)
+	route, account, refusal := s.admitFirst()
+	if refusal != nil {
+		return statement.Answer{State: statement.Idle, Err: refusal}
 	}
 	needed, known := s.needed(st)
 	if !known {
@@ -100,10 +100,11 @@
 	}
 	if carriers := s.relay.CarriersOf(route.Group); !carriers.Here && !s.carried {
 		needsPrimary := !s.reads(st) || route.Consistency == topology.Strict
+		s.account = account
 		return s.carry(st, route, s.relay.carrierOrder(carriers, route.Group, needsPrimary), arrived)
 	}
 	a := &attempt{
-		s: s, st: st, needed: needed, route: route,
+		s: s, st: st, needed: needed, route: route, account: account,
 		group: s.relay.upstreams.group(route.Group), gate: s.relay.Gate(route.Group),
 		arrived: arrived, deadline: arrived + route.Timeout, reads: s.reads(st),
 		why: "no member could be asked",
@@ -299,6 +300,7 @@
 	a.lastMember, a.lastAfter = up.id, t.after
 	lease, err := up.pool.Acquire(ctx, pool.Request{
 		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
+		Account:  a.account,
 		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
 		Level:    a.route.Priority,
 		Write:    !a.reads,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	self      string // the instance's name
 	near      string // its data centre
 	topology  func() *topology.Snapshot
+	current   func() bool // the store was heard of lately enough to know what does not exist
 	upstreams *Upstreams
 	log       *logrus.Entry
 	set       *metrics.Set
@@ -36,10 +37,11 @@
 }
 
 // New returns a relay of an instance in a data centre, whose times count from
-// started, on the steady clock.
-func New(started time.Time, self lead.Instance, topology func() *topology.Snapshot, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
+// started, on the steady clock. current reports whether the topology was confirmed lately
+// enough that what it does not hold does not exist.
+func New(started time.Time, self lead.Instance, topology func() *topology.Snapshot, current func() bool, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
 	r := &Relay{
-		started: started, self: self.Name, near: self.DataCentre, topology: topology, upstreams: upstreams, log: log, set: set,
+		started: started, self: self.Name, near: self.DataCentre, topology: topology, current: current, upstreams: upstreams, log: log, set: set,
 		gates: make(map[string]*lead.Gate),
 	}
 	r.carrierConns = newCarrierConns(conns, r.now)
@@ -145,7 +147,7 @@
 func (r *Relay) logLost(s *session, st statement.Statement, id string, cause error) {
 	r.set.GetOrCreateCounter(`stackspindle_lost_answers_total{member="` + id + `"}`).Inc()
 	if leftOut, ok := r.limiter.Allow("lost" + id); ok {
-		r.log.WithFields(logrus.Fields{"request": st.ID, "database": s.database, "member": id, "left_out": leftOut}).WithError(cause).
+		r.log.WithFields(logrus.Fields{"request": st.ID, "database": s.start.Database, "member": id, "left_out": leftOut}).WithError(cause).
 			Info("relay: an answer did not arrive")
 	}
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,13 +12,20 @@
 
 	"github.com/panjf2000/ants/v2"
 
+	"github.com/stackspindle/stackspindle/internal/account"
 	"github.com/stackspindle/stackspindle/internal/statement"
 )
 
+// Start is what a caller asks for when its session begins.
+type Start struct {
+	Database string
+	Key      account.Key // that shows its account
+}
+
 // Caller is the connection of one caller, in whatever protocol it speaks.
 type Caller interface {
-	// Start reads the beginning and returns the database asked for.
-	Start() (string, error)
+	// Start reads the beginning.
+	Start() (Start, error)
 	// Accept tells the caller that its session has begun.
 	Accept() error
 	// Next reads the next statement. io.EOF means a good end. An error of type
@@ -131,24 +138,20 @@
 	if c.caller.SetReadDeadline(time.Now().Add(startTimeout)) != nil {
 		return false
 	}
-	database, err := c.caller.Start()
+	start, err := c.caller.Start()
 	var refusal *statement.Error
 	switch {
 	case errors.As(err, &refusal):
 	case err != nil:
 		return false // the caller has gone, or says nothing
-	case relay.snapshot().Version == 0:
-		refusal = &statement.Error{Code: statement.Busy, Detail: "no configuration is known yet", RetryAfter: comeBack}
 	default:
-		if _, ok := relay.snapshot().Databases[database]; !ok {
-			refusal = &statement.Error{Code: statement.NoDatabase, Detail: fmt.Sprintf("no route leads to database %q", database)}
-		}
+		_, _, refusal = relay.admit(start)
 	}
 	if refusal != nil {
 		_ = c.caller.Refuse(refusal)
 		return false
 	}
-	c.session = newSession(relay, database)
+	c.session = newSession(relay, start)
 	c.server.mu.Lock()
 	c.server.callers[c] = struct{}{}
 	c.server.mu.Unlock()
@@ -196,7 +199,7 @@
 // was not there to take.
 func (c *callerConn) noteFailure(st statement.Statement, answer statement.Answer, delivered bool) {
 	relay := c.server.relay
-	reason := cause{group: relay.snapshot().Databases[c.session.database].Group}
+	reason := cause{group: relay.snapshot().Databases[c.session.start.Database].Group}
 	switch {
 	case answer.Err != nil:
 		reason.outcome, reason.why = answer.Err.Code.String(), answer.Err.Detail
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -19,16 +19,17 @@
 
 // session is what belongs to one caller. It is used by one goroutine.
 type session struct {
-	relay    *Relay
-	database string
-	values   map[string]string
-	names    map[string]prepared
-	floor    group.Position // of the session's last acknowledged commit
-	state    statement.State
-	tx       *transaction       // nil outside one, in one that was lost, and in one at a carrier
-	remote   *remoteTransaction // at a carrier; nil: none
-	carried  bool               // the session is another instance's, which this one carries for
-	lost     string             // why the open transaction is gone; empty: it is not
+	relay   *Relay
+	start   Start
+	account string // whose work it is, as the caller's own instance found
+	values  map[string]string
+	names   map[string]prepared
+	floor   group.Position // of the session's last acknowledged commit
+	state   statement.State
+	tx      *transaction       // nil outside one, in one that was lost, and in one at a carrier
+	remote  *remoteTransaction // at a carrier; nil: none
+	carried bool               // the session is another instance's, which this one carries for
+	lost    string             // why the open transaction is gone; empty: it is not
 }
 
 // transaction is an open transaction on a member's connection.
@@ -41,13 +42,13 @@
 	wrote bool
 }
 
-func newSession(r *Relay, database string) *session {
+func newSession(r *Relay, start Start) *session {
 	return &session{
-		relay:    r,
-		database: database,
-		values:   make(map[string]string),
-		names:    make(map[string]prepared),
-		state:    statement.Idle,
+		relay:  r,
+		start:  start,
+		values: make(map[string]string),
+		names:  make(map[string]prepared),
+		state:  statement.Idle,
 	}
 }
 
@@ -63,6 +64,9 @@
 	switch {
 	case s.lost != "":
 		return s.afterLoss(ends)
+	case s.state != statement.Idle && s.keyEnded():
+		s.endTx()
+		return statement.Failure(statement.Idle, statement.Aborted, endedKey)
 	case s.state == statement.Failed && !ends:
 		return statement.Failure(s.state, statement.Malformed, "the transaction has failed; only its end is accepted")
 	case st.Kind == statement.Set:
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +23,15 @@
 	relay *Relay
 	group *membergroup.Group
 	gate  *lead.Gate
+
+	mu   sync.Mutex // guards snap
+	snap *topology.Snapshot
+}
+
+func (b *bench) topology() *topology.Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.snap
 }
 
 const generous = time.Minute // a bound that no test reaches
@@ -44,8 +54,8 @@
 	upstreams := NewUpstreams(group, func() time.Duration { return time.Since(started) })
 	upstreams.Update(snap, placedFor(snap, 1), "")
 	t.Cleanup(upstreams.Close)
-	b := &bench{group: group}
-	b.relay = New(started, lead.Instance{}, func() *topology.Snapshot { return snap }, upstreams, peerconn.New(), log.WithField("part", "relay"), metrics.NewSet())
+	b := &bench{group: group, snap: snap}
+	b.relay = New(started, lead.Instance{}, b.topology, func() bool { return true }, upstreams, peerconn.New(), log.WithField("part", "relay"), metrics.NewSet())
 	b.gate = b.relay.Gate("g")
 	b.gate.Learn(lead.Record{Group: "g", Primary: "m1", Term: 1}, 1)
 	b.gate.Confirm(b.relay.now())
@@ -64,7 +74,7 @@
 
 func TestRestingTransactionIsRolledBack(t *testing.T) {
 	b := newBench(t)
-	s := newSession(b.relay, "strict")
+	s := newSession(b.relay, Start{Database: "strict"})
 	must.Eq(t, statement.InTransaction, b.run(s, statement.Begin, "BEGIN").State)
 	must.Eq(t, statement.InTransaction, b.run(s, statement.Write, "WRITE 1 x").State)
 	s.abandonTx("the transaction rested for too long")
@@ -80,7 +90,7 @@
 // releases only when nothing of it is under way any more.
 func TestReleaseEndsOpenTransactions(t *testing.T) {
 	b := newBench(t)
-	s := newSession(b.relay, "strict")
+	s := newSession(b.relay, Start{Database: "strict"})
 	b.run(s, statement.Begin, "BEGIN")
 	b.run(s, statement.Write, "WRITE 1 x")
 	released := make(chan error, 1)
@@ -92,7 +102,7 @@
 	must.Eq(t, statement.Aborted, a.Err.Code)
 	must.NoError(t, <-released)
 	must.SliceEmpty(t, b.group.Log())
-	h := newSession(b.relay, "hurried")
+	h := newSession(b.relay, Start{Database: "hurried"})
 	a = b.run(h, statement.Write, "WRITE 2 x")
 	must.Eq(t, statement.Busy, a.Err.Code)
 	must.Positive(t, a.Err.RetryAfter)
@@ -102,7 +112,7 @@
 // What a released session was told to be done is done: the release waits.
 func TestReleaseWaitsForTransactionsThatEnd(t *testing.T) {
 	b := newBench(t)
-	s := newSession(b.relay, "strict")
+	s := newSession(b.relay, Start{Database: "strict"})
 	b.run(s, statement.Begin, "BEGIN")
 	b.run(s, statement.Write, "WRITE 1 x")
 	released := make(chan error, 1)
@@ -120,7 +130,7 @@
 
 func TestBoundedReadsGoToReplicasOnceThePrimaryWasHeard(t *testing.T) {
 	b := newBench(t)
-	s := newSession(b.relay, "bounded")
+	s := newSession(b.relay, Start{Database: "bounded"})
 	must.Eq(t, "m1.x", b.run(s, statement.Read, "READ 1").Receipt, must.Sprint("no sample yet"))
 	must.Eq(t, "m2.x", b.run(s, statement.Read, "READ 1").Receipt)
 	b.group.SetReach("m2", membergroup.Dead)
@@ -157,7 +167,7 @@
 			b.relay.upstreams.Update(state.Snapshot(), placedFor(state.Snapshot(), 1+n%3), "")
 		}
 	}()
-	s := newSession(b.relay, "bounded")
+	s := newSession(b.relay, Start{Database: "bounded"})
 	for {
 		must.Nil(t, b.run(s, statement.Read, "READ 1").Err)
 		select {
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -148,8 +148,8 @@
 		MinBackoff:  minDialBackoff,
 		MaxBackoff:  maxDialBackoff,
 	}
-	up.pool = connpool.New(cfg, func(ctx context.Context) (*member.Shared, error) {
-		conn, err := u.dialer.Dial(ctx, m)
+	up.pool = connpool.New(cfg, func(ctx context.Context, account string) (*member.Shared, error) {
+		conn, err := u.dialer.Dial(ctx, m, account)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -25,7 +25,7 @@
 
 func TestUnconfirmedGrantIsVerifiedByTheMembers(t *testing.T) {
 	b := newUnconfirmedBench(t)
-	s := newSession(b.relay, "strict")
+	s := newSession(b.relay, Start{Database: "strict"})
 	must.Nil(t, b.run(s, statement.Write, "WRITE 1 x").Err)
 	must.Nil(t, b.run(s, statement.Read, "READ 1").Err)
 	must.Nil(t, b.run(s, statement.Begin, "BEGIN").Err)
@@ -40,7 +40,7 @@
 func TestUnconfirmedGrantNeedsEveryMember(t *testing.T) {
 	b := newUnconfirmedBench(t)
 	b.group.SetReach("m2", membergroup.Dead)
-	s := newSession(b.relay, "hurried")
+	s := newSession(b.relay, Start{Database: "hurried"})
 	a := b.run(s, statement.Write, "WRITE 1 x")
 	must.Eq(t, statement.Busy, a.Err.Code)
 	must.SliceEmpty(t, b.group.Log())
@@ -50,7 +50,7 @@
 // What the old primary says after another member was promoted is not passed on.
 func TestUnconfirmedGrantAfterAPromotion(t *testing.T) {
 	b := newUnconfirmedBench(t)
-	s := newSession(b.relay, "hurried")
+	s := newSession(b.relay, Start{Database: "hurried"})
 	must.Nil(t, b.run(s, statement.Write, "WRITE 1 x").Err)
 	b.group.SetReach("m1", membergroup.Silent) // cut off, so that it does not hear of its successor
 	must.NoError(t, b.group.Promote(t.Context(), "g", "m2", "other", 2))
@@ -71,7 +71,7 @@
 	settle := func() outcome {
 		lease, err := up.pool.Acquire(t.Context(), pool.Request{Deadline: generous}, nil)
 		must.NoError(t, err)
-		a := &attempt{s: newSession(b.relay, "strict"), group: b.relay.upstreams.group("g"), gate: b.gate, reads: true}
+		a := &attempt{s: newSession(b.relay, Start{Database: "strict"}), group: b.relay.upstreams.group("g"), gate: b.gate, reads: true}
 		_, out := a.settle(target{up: up, pass: pass}, &hold{lease: lease}, statement.Done(statement.Idle))
 		return out
 	}
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,7 +38,31 @@
 	Text     string
 }
 
-// Member is one member.
+// Run is a statement that reached a member on a connection of an account.
+type Run struct {
+	ID      string // of the statement
+	Member  string
+	Account string
+}
+
+// keptRuns bounds the runs that are kept.
+const keptRuns = 1 << 16
+
+// noteRun remembers a run. The caller holds mu.
+func (g *Group) noteRun(r Run) {
+	if len(g.runs) < keptRuns {
+		g.runs = append(g.runs, r)
+	}
+}
+
+// Runs returns the statements that reached the members, in order; the first 65,536.
+func (g *Group) Runs() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.runs)
+}
+
+// memberState is one member.
 type memberState struct {
 	id      string
 	primary bool
@@ -63,6 +88,7 @@
 	promotions []Promotion
 	lag        time.Duration     // of the replicas, until they apply what they received
 	commits    map[string]Commit // all that ever took effect, by the statement's ID
+	runs       []Run             // bounded by keptRuns
 }
 
 // Commit is what became of a committed write.
@@ -299,7 +325,7 @@
 }
 
 // Dial implements member.Dialer.
-func (g *Group) Dial(ctx context.Context, m topology.Member) (member.Conn, error) {
+func (g *Group) Dial(ctx context.Context, m topology.Member, account string) (member.Conn, error) {
 	g.mu.Lock()
 	state := g.members[m.ID]
 	if state == nil || state.reach == Dead {
@@ -312,22 +338,23 @@
 		return nil, ctx.Err()
 	}
 	defer g.mu.Unlock()
-	c := &conn{group: g, member: state, state: statement.Idle, values: make(map[string]string), names: make(map[string]member.Prepared)}
+	c := &conn{group: g, member: state, account: account, state: statement.Idle, values: make(map[string]string), names: make(map[string]member.Prepared)}
 	state.conns[c] = struct{}{}
 	return c, nil
 }
 
 // conn implements member.Conn. Its fields are guarded by the group's mu.
 type conn struct {
-	group  *Group
-	member *memberState
-	closed bool
-	silent bool // nothing is heard on it any more, while new ones work
-	state  statement.State
-	writes []Write // of the open transaction
-	reads  bool    // the transaction only reads
-	values map[string]string
-	names  map[string]member.Prepared
+	group   *Group
+	member  *memberState
+	account string // that it was opened for
+	closed  bool
+	silent  bool // nothing is heard on it any more, while new ones work
+	state   statement.State
+	writes  []Write // of the open transaction
+	reads   bool    // the transaction only reads
+	values  map[string]string
+	names   map[string]member.Prepared
 }
 
 // enter locks the group for a call. An error means that the connection broke, and
@@ -357,6 +384,7 @@
 		return statement.Answer{}, err
 	}
 	answer := c.run(req)
+	c.group.noteRun(Run{ID: req.Statement.ID, Member: c.member.id, Account: c.account})
 	lost := c.member.lose > 0
 	if lost {
 		c.member.lose--
--- a/internal/standin/membergroup/membergroup_test.go
+++ b/internal/standin/membergroup/membergroup_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/stackspindle/stackspindle/internal/account"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -14,7 +15,7 @@
 // What is committed by a replaced primary, and what a promotion drops, is told.
 func TestStaleAndCutCommits(t *testing.T) {
 	g := New("g", "a", "b")
-	conn, err := g.Dial(t.Context(), topology.Member{ID: "a"})
+	conn, err := g.Dial(t.Context(), topology.Member{ID: "a"}, account.Anonymous)
 	must.NoError(t, err)
 	write := func(id string) {
 		_, err := conn.Run(member.Request{Statement: statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE x y"}, Deadline: time.Now().Add(time.Hour)})
--- a/internal/standin/memberserver/memberserver.go
+++ b/internal/standin/memberserver/memberserver.go
@@ -77,7 +77,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	inner, err := s.dialer.Dial(ctx, topology.Member{ID: s.id})
+	_, account, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ") // STARTUP
+	_, account, _ = strings.Cut(account, " ")                          // the group
+	account, _, _ = strings.Cut(account, " ")                          // the member's id follows
+	inner, err := s.dialer.Dial(ctx, topology.Member{ID: s.id}, account)
 	if err != nil {
 		return // it is down
 	}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -63,6 +63,7 @@
 	TooMany                           // the member takes no more connections
 	Unprepared                        // the member does not know the name
 	NoDatabase                        // no route leads to the database
+	Unauthenticated                   // no account holds the caller's key
 	Malformed                         // the request cannot be understood
 	StatementFailed                   // it ran, and failed
 	TimedOut                          // it may have run
@@ -73,7 +74,7 @@
 // NotRun reports whether the code promises that nothing of the attempt is kept.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, Aborted, Lagging, ReadOnly, Misrouted, TooMany, Unprepared, NoDatabase, Malformed:
+	case Busy, Aborted, Lagging, ReadOnly, Misrouted, TooMany, Unprepared, NoDatabase, Unauthenticated, Malformed:
 		return true
 	}
 	return false
@@ -90,7 +91,7 @@
 var codeNames = map[Code]string{
 	Busy: "busy", Aborted: "aborted", Lagging: "lagging", ReadOnly: "read_only",
 	Misrouted: "misrouted", TooMany: "too_many_connections", Unprepared: "unprepared",
-	NoDatabase: "no_database", Malformed: "malformed", StatementFailed: "failed",
+	NoDatabase: "no_database", Unauthenticated: "unauthenticated", Malformed: "malformed", StatementFailed: "failed",
 	TimedOut: "timed_out", Unknown: "outcome_unknown", UnrecognisedError: "unrecognised",
 }
 
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/stackspindle/stackspindle/internal/account"
 )
 
 // Consistency is what the reads of a route must see.
@@ -30,6 +32,7 @@
 	Timeout          time.Duration // of one statement
 	LatencyObjective time.Duration // of a whole operation
 	Priority         int           // 0 ranks highest
+	Public           bool          // callers need no key
 }
 
 // Group is a database group as the operators declare it.
@@ -45,6 +48,8 @@
 	Routes            []Route
 	Groups            []Group
 	IdleInTransaction time.Duration // after which a resting transaction may be ended; 0: never
+
+	Accounts *account.Directory // nil: none are declared, and whoever calls is served
 }
 
 // Member is one upstream as it describes itself.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,7 +23,7 @@
 
 // NewPool returns an empty pool of connections bound to a term.
 func NewPool(cfg connpool.Config, target Target, term uint64, now func() time.Duration) *Pool {
-	return connpool.New(cfg, func(ctx context.Context) (*Conn, error) {
+	return connpool.New(cfg, func(ctx context.Context, _ string) (*Conn, error) {
 		conn, err := Dial(ctx, target, term)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
