--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -33,8 +33,9 @@
 
 // Limit is what an account may ask of the whole fleet.
 type Limit struct {
-	Rate  float64 // operations a second, in the mean
-	Burst float64 // operations beyond that at once
+	Rate      float64 // operations a second, in the mean
+	Burst     float64 // operations beyond that at once
+	Unlimited bool    // no limit is declared
 }
 
 // Account is a client account as the operators declare it.
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -90,6 +90,8 @@
 		LeaseTTL:      s.Fleet.Lease,
 		StoreSilence:  s.Fleet.StoreSilence,
 		MaxCallers:    s.Caller.MaxCallers,
+		FirstStart:    s.Fleet.FirstStart,
+		Limits:        s.Fleet.Limits,
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,7 @@
 	"github.com/stackspindle/stackspindle/internal/findings"
 	"github.com/stackspindle/stackspindle/internal/membership"
 	"github.com/stackspindle/stackspindle/internal/owner"
+	"github.com/stackspindle/stackspindle/internal/quota"
 )
 
 // KeyPair names the files of a certificate. Empty means no TLS.
@@ -73,6 +74,12 @@
 	Grace    time.Duration
 	Lease    time.Duration
 
+	// FirstStart says that the whole fleet starts for the first time, so that nobody has
+	// held shares of the accounts' limits before.
+	FirstStart bool
+
+	Limits quota.Rules // how the use of client accounts is judged
+
 	// StoreSilence is the time within which it must be noticed that the store is
 	// silent. A watch is shorter, so that one which is deaf ends in it.
 	StoreSilence time.Duration
@@ -92,7 +99,7 @@
 		Credentials:     make(map[string]string),
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
-		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info"},
+		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info", Limits: quota.Rules{Window: 5 * time.Second}},
 	}
 }
 
@@ -294,6 +301,10 @@
 		{"fleet", "lease"}:                     duration(&s.Fleet.Lease),
 		{"fleet", "store_silence"}:             duration(&s.Fleet.StoreSilence),
 		{"fleet", "log_level"}:                 logLevel(&s.Fleet.LogLevel),
+		{"fleet", "first_start"}:               boolean(&s.Fleet.FirstStart),
+		{"limits", "window"}:                   duration(&s.Fleet.Limits.Window),
+		{"limits", "tolerance"}:                amount(&s.Fleet.Limits.Tolerance),
+		{"limits", "slack"}:                    amount(&s.Fleet.Limits.Slack),
 	}
 }
 
@@ -367,6 +378,20 @@
 	}
 }
 
+// maxAmount bounds numbers that may be fractions.
+const maxAmount = 1e6
+
+func amount(target *float64) setter {
+	return func(value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= 0 && n <= maxAmount) {
+			return fmt.Errorf("%q is not a number between 0 and %g", value, maxAmount)
+		}
+		*target = n
+		return nil
+	}
+}
+
 func duration(target *time.Duration) setter {
 	return func(value string) error {
 		d, err := time.ParseDuration(value)
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -165,6 +165,7 @@
 			}
 		}
 		i.share(i.topology.Load())
+		i.limiter.Learn(view.Names(), view.Alive())
 	}
 	i.pictureAt.Store(max(i.pictureAt.Load(), int64(c.Confirmed)))
 	if c.Whole {
@@ -174,6 +175,7 @@
 		i.registeredOnce.Store(true)
 		i.relay.StartCarrying()
 		i.heardAt.Store(int64(c.Confirmed))
+		i.limiter.Confirm(c.Confirmed)
 		i.relay.Gates(func(_ string, g *lead.Gate) { g.Confirm(c.Confirmed) })
 	}
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -20,13 +20,17 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"github.com/stackspindle/stackspindle/internal/account"
 	"github.com/stackspindle/stackspindle/internal/feed"
 	"github.com/stackspindle/stackspindle/internal/feed/feedpb"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
+	"github.com/stackspindle/stackspindle/internal/limits"
+	"github.com/stackspindle/stackspindle/internal/limits/limitspb"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
+	"github.com/stackspindle/stackspindle/internal/quota"
 	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
 	"github.com/stackspindle/stackspindle/internal/timeline"
@@ -66,6 +70,8 @@
 	LeaseTTL      time.Duration
 	StoreSilence  time.Duration // within which it must be noticed that the store is silent, or a watch deaf
 	MaxCallers    int
+	FirstStart    bool        // the whole fleet starts for the first time
+	Limits        quota.Rules // how the use of client accounts is judged
 }
 
 // Settings of the parts.
@@ -104,6 +110,7 @@
 	pictureAt      atomic.Int64 // when the last store call was sent, by whomever, that showed nothing newer than the picture
 	heardAt        atomic.Int64 // when the last store call was sent, by whomever, that confirmed the grants
 	registeredOnce atomic.Bool
+	settlement     settlement // of the registration
 	stopping       atomic.Bool
 
 	mirror     *feed.Mirror  // what is known of the store, for this instance and those that follow it
@@ -111,6 +118,7 @@
 	known      chan struct{} // closed once the store was read
 	knownOnce  sync.Once
 	upstreams  *relay.Upstreams
+	limiter    *limits.Limiter
 	relay      *relay.Relay
 	callers    *relay.Server
 	carrier    *relay.CarrierServer
@@ -162,7 +170,8 @@
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
-	i.relay = relay.New(i.started, i.self, i.topology.Load, i.current, i.upstreams, i.conns, i.part("relay"), i.set)
+	i.limiter = limits.New(i.self, settings.Limits, i.accounts, i.conns, i.now, i.spawn, i.part("limits"), i.set)
+	i.relay = relay.New(i.started, i.self, i.topology.Load, i.current, i.limiter, i.upstreams, i.conns, i.part("relay"), i.set)
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
 		return nil, err
 	}
@@ -173,6 +182,7 @@
 	leadpb.RegisterCoordinationServer(i.peers, server)
 	i.carrier = relay.NewCarrierServer(i.relay)
 	relaypb.RegisterCarrierServer(i.peers, i.carrier)
+	limitspb.RegisterLimitsServer(i.peers, i.limiter)
 	feedpb.RegisterFeedServer(i.peers, feed.NewServer(i.mirror, i.now))
 	return i, nil
 }
@@ -257,6 +267,9 @@
 		i.now()-confirmed < readyWithout
 }
 
+// accounts returns the client accounts of the configuration in force.
+func (i *Instance) accounts() *account.Directory { return i.topology.Load().Config.Accounts }
+
 // current reports whether the picture of the store was confirmed within the time in
 // which a configuration must be in force.
 func (i *Instance) current() bool {
--- a/internal/fleet/register.go
+++ b/internal/fleet/register.go
@@ -74,6 +74,7 @@
 		return 0, false
 	}
 	i.storeAnswers()
+	i.settle(view, id)
 	i.forget(view)
 	return max(registerPause, i.settings.LeaseTTL/renewalsPerTTL-(i.now()-started)), true
 }
@@ -98,7 +99,9 @@
 	if err != nil {
 		return err
 	}
-	if _, err := i.platform.Store.Commit(ctx, view.Registration(i.self, lease.ID)); err != nil {
+	// Before the call, since its answer may be lost.
+	i.limiter.Settle(i.settlement.begin(i.now(), view, i.self.Name, i.settings.FirstStart))
+	if _, err := i.platform.Store.Commit(ctx, view.Registration(i.entry(), lease.ID)); err != nil {
 		return err
 	}
 	i.lease.Store(int64(lease.ID))
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -54,6 +54,10 @@
 	Incarnation string `json:"incarnation"` // unique to one process
 	Address     string `json:"address"`     // for calls of other instances
 	DataCentre  string `json:"data_centre"`
+
+	// Settled says that the instance has been registered for long enough to hold shares of
+	// the client accounts' limits, also after a restart.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // Change is a change of primary that is under way.
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -293,6 +293,9 @@
 	return gone
 }
 
+// Names returns the names of all instances that are registered, in order.
+func (v *View) Names() []string { return slices.Sorted(maps.Keys(v.instances)) }
+
 // Rank returns the place of an instance among those whose lease holds, for a key, 0
 // for the first. One whose lease is gone comes last.
 func (v *View) Rank(key, name string) int {
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,268 @@
+// Package limits keeps client accounts within their limits over the whole fleet: it
+// asks the instances that hold the shares of an account's limit for tokens, and
+// gives out those of the shares that this instance holds. What is decided is decided
+// in package quota; here are its clock, its lock and its calls.
+package limits
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/stackspindle/stackspindle/internal/account"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/limits/limitspb"
+	"github.com/stackspindle/stackspindle/internal/peerconn"
+	"github.com/stackspindle/stackspindle/internal/quota"
+)
+
+const (
+	// askTimeout bounds a question for tokens. A healthy holder answers in 1 to 3 ms; an
+	// operation that waits for one goes on with the next holder after it.
+	askTimeout = 100 * time.Millisecond
+	// waitTimeout bounds how long an operation waits for a token in all.
+	waitTimeout = 250 * time.Millisecond
+	// countedAccounts bounds the accounts that have counters of their own; further ones
+	// share one.
+	countedAccounts = 512
+	otherAccounts   = "others"
+)
+
+// Limiter is the tokens and the shares of one instance. It is safe for concurrent use.
+type Limiter struct {
+	limitspb.UnimplementedLimitsServer
+	self     string
+	accounts func() *account.Directory
+	conns    *peerconn.Conns
+	now      func() time.Duration
+	spawn    func(func())
+	log      *logrus.Entry
+	counters counters
+
+	mu         sync.Mutex // guards the rest
+	meter      *quota.Meter
+	ledger     *quota.Ledger
+	confirmed  time.Duration // as of when the picture is known to hold
+	registered []string
+	holders    *quota.Holders           // among them
+	addresses  map[string]string        // of the instances that are alive
+	questions  map[string]chan struct{} // under way, by account; closed at their end
+	waiting    map[string]int           // operations that wait for a token, by account
+}
+
+// New returns the limiter of an instance whose process has just started. accounts
+// returns the directory in force.
+func New(self lead.Instance, rules quota.Rules, accounts func() *account.Directory, conns *peerconn.Conns, now func() time.Duration, spawn func(func()), log *logrus.Entry, set *metrics.Set) *Limiter {
+	return &Limiter{
+		self: self.Name, accounts: accounts, conns: conns, now: now, spawn: spawn, log: log,
+		counters:  counters{set: set, named: make(map[string]bool)},
+		meter:     quota.NewMeter(self.Name, self.DataCentre),
+		ledger:    quota.NewLedger(self.Name, rules),
+		confirmed: -quota.Validity,
+		holders:   quota.NewHolders(nil),
+		questions: make(map[string]chan struct{}),
+		waiting:   make(map[string]int),
+	}
+}
+
+// Learn takes in the registered instances, by name, and those that are alive.
+func (l *Limiter) Learn(registered []string, alive []lead.Instance) {
+	addresses, centres := make(map[string]string, len(alive)), make(map[string]string, len(alive))
+	for _, i := range alive {
+		addresses[i.Name], centres[i.Name] = i.Address, i.DataCentre
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addresses = addresses
+	if !slices.Equal(registered, l.registered) {
+		l.registered, l.holders = registered, quota.NewHolders(registered)
+		l.ledger.Register(l.now(), l.holders)
+	}
+	l.meter.Register(l.holders, centres)
+}
+
+// Confirm notes as of when the picture that was learned, in which this instance is
+// alive, is known to hold.
+func (l *Limiter) Confirm(at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirmed = max(l.confirmed, at)
+}
+
+// Settle notes from when on this instance may hold shares.
+func (l *Limiter) Settle(at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Settle(at)
+}
+
+// Spend uses a token of an account for one operation. It reports false when the account
+// is at its limit, with after what time a token can be had. In the usual case it waits
+// for nobody.
+func (l *Limiter) Spend(name string) (time.Duration, bool) {
+	if limit, known := l.accounts().Limit(name); name == account.Anonymous || known && limit.Unlimited {
+		return 0, true
+	}
+	var deadline <-chan time.Time
+	for waits := false; ; waits = true {
+		decision, asked := l.take(name, waits)
+		switch decision.Verdict {
+		case quota.Run:
+			l.counters.note(name, "run")
+			return 0, true
+		case quota.Refuse:
+			l.counters.note(name, "refused")
+			return decision.ComeBack, false
+		}
+		if deadline == nil {
+			timer := time.NewTimer(waitTimeout)
+			defer timer.Stop()
+			deadline = timer.C
+		}
+		select {
+		case <-asked:
+		case <-deadline:
+			l.giveUp(name)
+			return waitTimeout, false
+		}
+	}
+}
+
+// take decides about an operation, which may have waited before, and begins the
+// question that it brings unless one of the account is under way. The channel is closed
+// when that has ended.
+func (l *Limiter) take(name string, waited bool) (quota.Decision, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if waited {
+		l.waiting[name]--
+	}
+	decision := l.meter.Take(l.now(), name)
+	for decision.Holder == l.self {
+		l.meter.Granted(l.now(), l.now(), name, l.self, l.reserve(name, decision.Wanted))
+		if decision.Verdict == quota.Run {
+			decision.Holder, decision.Wanted = l.meter.Ahead(l.now(), name)
+			continue
+		}
+		decision = l.meter.Take(l.now(), name)
+	}
+	if decision.Holder == "" {
+		return decision, nil
+	}
+	if decision.Verdict == quota.Ask {
+		l.waiting[name]++
+	}
+	done := l.questions[name]
+	if done == nil {
+		done = make(chan struct{})
+		l.questions[name] = done
+		wanted, address := max(decision.Wanted, l.waiting[name]), l.addresses[decision.Holder]
+		l.spawn(func() { l.ask(name, decision.Holder, address, wanted, done) })
+	}
+	return decision, done
+}
+
+// giveUp notes that an operation waits no longer.
+func (l *Limiter) giveUp(name string) {
+	l.mu.Lock()
+	l.waiting[name]--
+	l.mu.Unlock()
+	l.counters.note(name, "unanswered")
+}
+
+// ask asks a holder for tokens, and then others as long as there are too few.
+func (l *Limiter) ask(name, holder, address string, wanted int, done chan struct{}) {
+	for holder != "" {
+		sent := l.now()
+		grant, err := l.call(name, wanted, address)
+		holder, address, wanted = l.answered(sent, name, holder, grant, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.questions, name)
+	close(done)
+}
+
+// answered takes in a holder's answer, or that it gave none, and returns the holder to ask
+// next: none once operations that wait can go on.
+func (l *Limiter) answered(sent time.Duration, name, holder string, g quota.Grant, err error) (string, string, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.meter.Failed(l.now(), holder)
+		l.log.WithError(err).WithFields(logrus.Fields{"account": name, "holder": holder}).Debug("limits: a holder did not answer")
+	} else {
+		l.meter.Granted(sent, l.now(), name, holder, g)
+	}
+	if l.waiting[name] > 0 {
+		return "", "", 0
+	}
+	next, wanted := l.meter.Ahead(l.now(), name)
+	if next == l.self {
+		l.meter.Granted(l.now(), l.now(), name, next, l.reserve(name, wanted))
+		next, wanted = l.meter.Ahead(l.now(), name)
+	}
+	return next, l.addresses[next], wanted
+}
+
+func (l *Limiter) call(name string, wanted int, address string) (quota.Grant, error) {
+	conn, err := l.conns.Get(address)
+	if err != nil {
+		return quota.Grant{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	reply, err := limitspb.NewLimitsClient(conn).Reserve(ctx, &limitspb.ReserveRequest{Account: name, Wanted: uint32(wanted)})
+	if err != nil {
+		return quota.Grant{}, err
+	}
+	return quota.Grant{
+		Tokens: int(reply.Tokens), Holder: reply.Holder,
+		Life: time.Duration(reply.LifeUs) * time.Microsecond, ComeBack: time.Duration(reply.ComeBackUs) * time.Microsecond,
+	}, nil
+}
+
+// reserve gives out tokens of this instance's share. The caller holds mu.
+func (l *Limiter) reserve(name string, wanted int) quota.Grant {
+	limit, known := l.accounts().Limit(name)
+	if !known {
+		return quota.Grant{}
+	}
+	return l.ledger.Reserve(l.now(), l.confirmed, name, limit, wanted)
+}
+
+// Reserve implements limitspb.LimitsServer.
+func (l *Limiter) Reserve(_ context.Context, req *limitspb.ReserveRequest) (*limitspb.ReserveReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.reserve(req.Account, int(req.Wanted))
+	return &limitspb.ReserveReply{
+		Tokens: uint32(g.Tokens), Holder: g.Holder, LifeUs: g.Life.Microseconds(), ComeBackUs: g.ComeBack.Microseconds(),
+	}, nil
+}
+
+// counters count the operations of each account, for a bounded number of accounts.
+type counters struct {
+	set *metrics.Set
+
+	mu    sync.Mutex // guards named
+	named map[string]bool
+}
+
+func (c *counters) note(name, outcome string) {
+	c.mu.Lock()
+	if !c.named[name] {
+		if len(c.named) < countedAccounts {
+			c.named[name] = true
+		} else {
+			name = otherAccounts
+		}
+	}
+	c.mu.Unlock()
+	c.set.GetOrCreateCounter(fmt.Sprintf("stackspindle_account_operations_total{account=%q,outcome=%q}", name, outcome)).Inc()
+}
--- /dev/null
+++ b/internal/quota/meter.go
@@ -0,0 +1,208 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/ownership"
+)
+
+const (
+	// stockTime is for how much of an account's usual use tokens are kept ahead. A
+	// question and its answer take a few milliseconds; each is charged.
+	stockTime = 400 * time.Millisecond
+	// maxStock bounds the tokens that are asked for at once.
+	maxStock = 64
+	// gapSpan is the number of operations over which the usual pause between them is
+	// averaged.
+	gapSpan = 8
+	// awayPause is for how long a holder that did not answer is not asked again.
+	awayPause = time.Second
+	// emptyPause is the least time before a holder without tokens is asked again: many
+	// instances may want the next one.
+	emptyPause = 150 * time.Millisecond
+)
+
+// Meter is the tokens that one instance has taken, and whom to ask for more. It is not
+// safe for concurrent use.
+type Meter struct {
+	self     string
+	near     string // this instance's data centre
+	holders  *Holders
+	centres  map[string]string        // data centre by instance, of those that are alive
+	away     map[string]time.Duration // until when a holder is not asked
+	accounts map[string]*stock
+}
+
+// stock is what the instance has of one account.
+type stock struct {
+	batches []batch                  // by the end of their life
+	empty   map[string]time.Duration // until when a holder has none, by name
+	last    time.Duration            // when the last token was used
+	gap     time.Duration            // usual pause between two uses; 0: not known
+	life    time.Duration            // of the tokens that came last
+}
+
+// batch is some tokens that end together.
+type batch struct {
+	tokens int
+	until  time.Duration
+}
+
+// NewMeter returns a meter without tokens.
+func NewMeter(self, dataCentre string) *Meter {
+	return &Meter{self: self, near: dataCentre, holders: NewHolders(nil), away: make(map[string]time.Duration), accounts: make(map[string]*stock)}
+}
+
+// Register takes in the registered instances and the data centres of those alive.
+func (m *Meter) Register(h *Holders, alive map[string]string) {
+	m.holders, m.centres = h, alive
+}
+
+// Verdict is what is to be done about an operation.
+type Verdict int
+
+// The verdicts.
+const (
+	Run    Verdict = iota // a token was used
+	Ask                   // a token must be asked for first
+	Refuse                // no holder has one
+)
+
+// Decision is the answer of Take.
+type Decision struct {
+	Verdict  Verdict
+	Holder   string        // to be asked: with Ask before the operation, with Run ahead of the next; empty: nobody
+	Wanted   int           // tokens
+	ComeBack time.Duration // with Refuse: after what time one can be had
+}
+
+// Take uses a token of an account for an operation.
+func (m *Meter) Take(now time.Duration, name string) Decision {
+	s := m.stock(name)
+	s.expire(now)
+	if len(s.batches) == 0 {
+		holder, comeBack := m.ask(now, name, s)
+		if holder == "" {
+			return Decision{Verdict: Refuse, ComeBack: comeBack}
+		}
+		return Decision{Verdict: Ask, Holder: holder, Wanted: 1 + s.target()}
+	}
+	s.use(now)
+	d := Decision{Verdict: Run}
+	d.Holder, d.Wanted = m.Ahead(now, name)
+	return d
+}
+
+// Ahead returns the holder to ask for tokens ahead of need, and how many, or no holder when
+// there are enough, or none may have any. Half of what is kept ahead may be used before.
+func (m *Meter) Ahead(now time.Duration, name string) (string, int) {
+	s := m.stock(name)
+	s.expire(now)
+	target, left := s.target(), s.left()
+	if left >= (target+1)/2 {
+		return "", 0
+	}
+	holder, _ := m.ask(now, name, s)
+	return holder, target - left
+}
+
+// Granted takes in a holder's answer to a question that was sent at a time.
+func (m *Meter) Granted(sent, now time.Duration, name, holder string, g Grant) {
+	s := m.stock(name)
+	delete(m.away, holder)
+	switch {
+	case !g.Holder:
+		s.empty[holder] = now + awayPause // it sees other holders, or is not settled
+	case g.Tokens == 0:
+		s.empty[holder] = now + max(g.ComeBack, emptyPause)
+	default:
+		delete(s.empty, holder)
+		s.life = g.Life
+		until := sent + time.Duration(float64(g.Life)*(1-drift))
+		s.batches = append(s.batches, batch{tokens: g.Tokens, until: until})
+		slices.SortFunc(s.batches, func(a, b batch) int { return cmp.Compare(a.until, b.until) })
+	}
+}
+
+// Failed notes that a holder did not answer.
+func (m *Meter) Failed(now time.Duration, holder string) { m.away[holder] = now + awayPause }
+
+func (m *Meter) stock(name string) *stock {
+	s := m.accounts[name]
+	if s == nil {
+		s = &stock{empty: make(map[string]time.Duration)}
+		m.accounts[name] = s
+	}
+	return s
+}
+
+// ask returns the holder to ask for tokens of an account: this instance itself, then
+// near ones, each instance another one first. Without one that may have some it
+// returns after what time one may.
+func (m *Meter) ask(now time.Duration, name string, s *stock) (string, time.Duration) {
+	best, rank, comeBack := "", 0, awayPause
+	var score uint64
+	for _, holder := range m.holders.Of(name) {
+		centre, alive := m.centres[holder]
+		if !alive {
+			continue
+		}
+		if until := max(m.away[holder], s.empty[holder]); until > now {
+			comeBack = min(comeBack, until-now)
+			continue
+		}
+		r, sc := m.distance(holder, centre), ownership.Score(m.self, holder)
+		if best == "" || r < rank || r == rank && sc > score {
+			best, rank, score = holder, r, sc
+		}
+	}
+	return best, comeBack
+}
+
+func (m *Meter) distance(holder, centre string) int {
+	switch {
+	case holder == m.self:
+		return 0
+	case centre == m.near:
+		return 1
+	}
+	return 2
+}
+
+// expire drops tokens that are not worth anything any more.
+func (s *stock) expire(now time.Duration) {
+	s.batches = slices.DeleteFunc(s.batches, func(b batch) bool { return b.tokens == 0 || b.until <= now })
+}
+
+// left returns how many tokens there are.
+func (s *stock) left() int {
+	n := 0
+	for _, b := range s.batches {
+		n += b.tokens
+	}
+	return n
+}
+
+// use uses the token that ends first, and notes the pause since the one before.
+func (s *stock) use(now time.Duration) {
+	s.batches[0].tokens--
+	if gap := now - s.last; s.last > 0 {
+		if s.gap == 0 {
+			s.gap = gap
+		}
+		s.gap += (gap - s.gap) / gapSpan
+	}
+	s.last = now
+}
+
+// target returns how many tokens are to be kept ahead: those of the next while, and one
+// where the next operation usually comes within the life of a token.
+func (s *stock) target() int {
+	switch {
+	case s.gap == 0 || s.gap >= s.life:
+		return 0
+	}
+	return min(maxStock, 1+int(stockTime/s.gap))
+}
--- /dev/null
+++ b/internal/quota/property_test.go
@@ -0,0 +1,226 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stackspindle/stackspindle/internal/account"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.checks": "2000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// removedAfter is after what time without a sign of life an instance's registration is
+// removed.
+const removedAfter = 30 * time.Second
+
+// world is a fleet with one account, seen from outside, in true time.
+type world struct {
+	t     *rapid.T
+	rules Rules
+	limit account.Limit
+	now   time.Duration
+	nodes []*node
+	used  []time.Duration // operations, in order
+}
+
+// node is one machine. Its process has a clock of its own.
+type node struct {
+	name       string
+	registered bool // in the store
+	settled    bool // in the store
+	alive      bool // in the store: its lease holds
+	lastAlive  time.Duration
+	up, cut    bool
+
+	rate      float64 // of the process's clock
+	started   time.Duration
+	ledger    *Ledger
+	confirmed time.Duration // on the process's clock
+	joined    time.Duration // when it registered for the first time, on the process's clock; settled: 0
+	seen      []string      // the registered instances, as it knows them
+	tokens    []heldTokens
+}
+
+// heldTokens are tokens that a node has, and until when on its clock.
+type heldTokens struct {
+	n     int
+	until time.Duration
+}
+
+func (n *node) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now-n.started) * n.rate)
+}
+
+func (w *world) registered() []string {
+	var names []string
+	for _, n := range w.nodes {
+		if n.registered {
+			names = append(names, n.name)
+		}
+	}
+	return names
+}
+
+func (w *world) start(n *node) {
+	n.up, n.started = true, w.now
+	n.rate = rapid.SampledFrom([]float64{0.995, 1, 1.005}).Draw(w.t, "clock")
+	n.ledger, n.tokens, n.seen = NewLedger(n.name, w.rules), nil, nil
+	n.confirmed = -time.Hour
+	if n.settled {
+		n.ledger.Settle(0)
+	}
+	n.joined = -1
+}
+
+// sync lets a node read the store, which shows it as registered and alive.
+func (w *world) sync(n *node) {
+	if !n.up || n.cut {
+		return
+	}
+	local := n.clock(w.now)
+	if !n.registered || n.joined < 0 {
+		n.joined = local
+		if !n.settled {
+			n.ledger.Settle(local + SettleAfter)
+		}
+	}
+	n.registered, n.alive, n.lastAlive = true, true, w.now
+	if !n.settled && local >= n.joined+SettleAfter {
+		n.settled = true
+	}
+	if names := w.registered(); !slices.Equal(names, n.seen) {
+		n.seen = names
+		n.ledger.Register(local, NewHolders(names))
+	}
+	n.confirmed = local
+}
+
+// pass lets time go by. Leases of who does not renew them end after 3 s, and
+// registrations long after that.
+func (w *world) pass(d time.Duration) {
+	w.now += d
+	for _, n := range w.nodes {
+		if n.alive && w.now-n.lastAlive > 3*time.Second {
+			n.alive = false
+		}
+		if n.registered && w.now-n.lastAlive > removedAfter {
+			n.registered, n.settled = false, false
+		}
+	}
+}
+
+// reserve lets one node ask another for tokens; the answer may come late.
+func (w *world) reserve(from, holder *node) {
+	if !from.up || !holder.up {
+		return
+	}
+	sent := from.clock(w.now)
+	w.pass(rapid.SampledFrom([]time.Duration{0, time.Millisecond, 150 * time.Millisecond}).Draw(w.t, "way"))
+	g := holder.ledger.Reserve(holder.clock(w.now), holder.confirmed, "a", w.limit, rapid.SampledFrom([]int{1, 5, 1000}).Draw(w.t, "wanted"))
+	w.pass(rapid.SampledFrom([]time.Duration{0, time.Millisecond, 150 * time.Millisecond}).Draw(w.t, "way back"))
+	if g.Tokens > 0 {
+		from.tokens = append(from.tokens, heldTokens{n: g.Tokens, until: sent + time.Duration(float64(g.Life)*(1-drift))})
+	}
+}
+
+// spend lets a node use all tokens that are still worth something.
+func (w *world) spend(n *node) {
+	if !n.up {
+		return
+	}
+	for _, h := range n.tokens {
+		if n.clock(w.now) < h.until {
+			for range h.n {
+				w.used = append(w.used, w.now)
+			}
+		}
+	}
+	n.tokens = nil
+}
+
+func (w *world) check() {
+	allowed := (w.limit.Rate*w.rules.Window.Seconds()+w.limit.Burst)*(1+w.rules.Tolerance) + w.rules.Slack
+	first := 0
+	for last := range w.used {
+		for w.used[last]-w.used[first] > w.rules.Window {
+			first++
+		}
+		if n := float64(last - first + 1); n > allowed {
+			w.t.Fatalf("%v operations in the window that ends at %s, %v are allowed", n, w.used[last], allowed)
+		}
+	}
+}
+
+// TestNoWindowExceedsTheLimit drives a fleet through cuts, restarts, joins and removals,
+// with callers that want all they can get, and counts every window.
+func TestNoWindowExceedsTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, rules: Rules{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}}
+		rate := rapid.SampledFrom([]float64{0.5, 3, 20, 112}).Draw(t, "rate")
+		w.limit = account.Limit{Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "burst")}
+		for n := range rapid.SampledFrom([]int{1, 4, 9}).Draw(t, "first") {
+			w.nodes = append(w.nodes, &node{name: fmt.Sprint("n", n), settled: true, registered: true})
+		}
+		for _, n := range w.nodes {
+			w.start(n)
+		}
+		for _, n := range w.nodes {
+			w.sync(n)
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			w.step()
+		}
+		w.check()
+	})
+}
+
+func (w *world) step() {
+	n := rapid.SampledFrom(w.nodes).Draw(w.t, "node")
+	switch rapid.SampledFrom([]string{"greed", "greed", "greed", "pass", "leap", "sync", "sync", "cut", "kill", "restart", "join"}).Draw(w.t, "what") {
+	case "greed": // a node takes from all others, and uses it now or as late as it can
+		for _, holder := range w.nodes {
+			w.reserve(n, holder)
+		}
+		if rapid.Bool().Draw(w.t, "late") {
+			w.pass(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second}).Draw(w.t, "for"))
+		}
+		w.spend(n)
+	case "pass":
+		w.pass(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second}).Draw(w.t, "for"))
+	case "leap": // long enough for pictures and registrations to end, while some hear of the store
+		for range 8 {
+			w.pass(4 * time.Second)
+			for _, other := range w.nodes {
+				w.sync(other)
+			}
+		}
+	case "sync":
+		w.sync(n)
+	case "cut":
+		n.cut = !n.cut
+	case "kill":
+		n.up = false
+	case "restart":
+		w.start(n)
+		n.cut = false
+		w.sync(n)
+	case "join":
+		if len(w.nodes) < 14 {
+			fresh := &node{name: fmt.Sprint("n", len(w.nodes))}
+			w.nodes = append(w.nodes, fresh)
+			w.start(fresh)
+			w.sync(fresh)
+		}
+	}
+}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -38,6 +41,26 @@
 	return &statement.Error{Code: statement.Unauthenticated, Detail: "no account holds the key"}
 }
 
+// Limiter keeps client accounts within what they may ask of the whole fleet.
+type Limiter interface {
+	// Spend uses an account's right to one operation. It reports false when there is
+	// none, with after what time there may be one.
+	Spend(account string) (time.Duration, bool)
+}
+
+// spend uses an account's right to one operation, or returns the refusal.
+func (r *Relay) spend(account, database string) *statement.Error {
+	comeBack, ok := r.limiter.Spend(account)
+	if ok {
+		return nil
+	}
+	if leftOut, ok := r.sampler.Allow("limit" + account); ok {
+		r.log.WithFields(logrus.Fields{"account": account, "database": database, "come_back_ms": comeBack.Milliseconds(), "left_out": leftOut}).
+			Info("relay: an account is at its limit, or those that hold it could not be asked")
+	}
+	return &statement.Error{Code: statement.Busy, Detail: "not run: the account is at its limit", RetryAfter: comeBack}
+}
+
 // admitFirst is admit for the first statement of a session's transaction. Of a carried
 // one the caller was admitted by its own instance, which knows the key.
 func (s *session) admitFirst() (topology.Route, string, *statement.Error) {
--- a/internal/relay/admit_test.go
+++ b/internal/relay/admit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -134,3 +135,55 @@
 		must.Eq(t, run.Account, run.ID[:1], must.Sprintf("%+v", run))
 	}
 }
+
+// unlimited is a Limiter that refuses nothing.
+type unlimited struct{}
+
+func (unlimited) Spend(string) (time.Duration, bool) { return 0, true }
+
+// fixedRights is a Limiter that gives a number of rights.
+type fixedRights struct{ left int }
+
+const comeBackLater = 70 * time.Millisecond
+
+func (r *fixedRights) Spend(string) (time.Duration, bool) {
+	r.left--
+	return comeBackLater, r.left >= 0
+}
+
+// An operation beyond the account's limit is refused at once, with when to come back; a
+// transaction counts once, whatever it holds.
+func TestOperationsBeyondTheLimitAreRefused(t *testing.T) {
+	b := newBench(t)
+	b.declare(2, "a")
+	b.relay.limiter = &fixedRights{left: 2}
+	s := newSession(b.relay, withKey("strict", "a"))
+	b.run(s, statement.Begin, "BEGIN")
+	for range 3 {
+		must.Nil(t, b.run(s, statement.Write, "WRITE 1 x").Err)
+	}
+	must.Nil(t, b.run(s, statement.Commit, "COMMIT").Err)
+	must.Nil(t, b.run(s, statement.Read, "READ 1").Err)
+	ran := len(b.group.Runs())
+	answer := b.run(s, statement.Read, "READ 1")
+	must.Eq(t, statement.Busy, answer.Err.Code)
+	must.Eq(t, comeBackLater, answer.Err.RetryAfter)
+	must.Len(t, ran, b.group.Runs())
+}
+
+// A read that is run again elsewhere, since a member failed it, counts again.
+func TestReadThatRunsAgainCountsAgain(t *testing.T) {
+	for rights, want := range map[int]statement.Code{1: statement.StatementFailed, 2: 0} {
+		b := newBench(t)
+		b.declare(2, "a")
+		must.Nil(t, b.run(newSession(b.relay, withKey("strict", "a")), statement.Read, "READ 1").Err) // brings a sample
+		b.group.FailStatements("m1", 1)
+		b.group.FailStatements("m2", 1)
+		b.relay.limiter = &fixedRights{left: rights}
+		answer := b.run(newSession(b.relay, withKey("bounded", "a")), statement.Read, "READ 1")
+		if want == 0 {
+			continue
+		}
+		must.Eq(t, want, answer.Err.Code)
+	}
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -68,6 +68,8 @@
 	untried  time.Duration // until which it may wait without having been offered
 	reads    bool
 	offered  bool // a member that could run it was asked
+	maybeRun bool // a member may have run it, without an answer that could be passed on
+	atLimit  bool // it may not be sent again, since the account is at its limit
 	tries    int
 	why      string // the last refusal, for the caller and the log
 
@@ -103,6 +105,9 @@
 		s.account = account
 		return s.carry(st, route, s.relay.carrierOrder(carriers, route.Group, needsPrimary), arrived)
 	}
+	if refusal := s.relay.spend(account, s.start.Database); refusal != nil {
+		return statement.Answer{State: statement.Idle, Err: refusal}
+	}
 	a := &attempt{
 		s: s, st: st, needed: needed, route: route, account: account,
 		group: s.relay.upstreams.group(route.Group), gate: s.relay.Gate(route.Group),
@@ -125,7 +130,7 @@
 		case unknown:
 			return a.giveUpUnknown()
 		}
-		if !a.mayWait() {
+		if a.atLimit || !a.mayWait() {
 			return a.refuse()
 		}
 		a.pause()
@@ -297,6 +302,9 @@
 // waitUntil, the answer until timeout.
 func (a *attempt) tryAt(ctx context.Context, t target, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay, up := a.s.relay, t.up
+	if !a.mayRepeat() {
+		return statement.Answer{}, noRoom
+	}
 	a.lastMember, a.lastAfter = up.id, t.after
 	lease, err := up.pool.Acquire(ctx, pool.Request{
 		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
@@ -350,6 +358,21 @@
 	return a.settle(t, held, answer)
 }
 
+// mayRepeat reports whether the statement may be sent to a member: for the first time, or
+// once more when the account has the right to another operation, since one that may
+// have run counts.
+func (a *attempt) mayRepeat() bool {
+	if !a.maybeRun {
+		return true
+	}
+	if _, ok := a.s.relay.limiter.Spend(a.account); !ok {
+		a.why, a.atLimit = "the account is at its limit", true
+		return false
+	}
+	a.maybeRun = false
+	return true
+}
+
 // noteNoRoom records why no connection could be had.
 func (a *attempt) noteNoRoom(up *upstream, err error) {
 	a.why = "member " + up.id + ": " + err.Error()
@@ -367,7 +390,7 @@
 // have changed anything may run again: a read, and a transaction's beginning.
 func (a *attempt) lostAnswer(up *upstream, err error) (statement.Answer, outcome) {
 	a.s.relay.logLost(a.s, a.st, up.id, err)
-	a.why = err.Error()
+	a.why, a.maybeRun = err.Error(), true
 	if a.reads || a.st.Kind == statement.Begin {
 		return statement.Answer{}, notRun
 	}
@@ -396,7 +419,7 @@
 	held.release()
 	up.noteMiss(a.now())
 	a.failures++
-	a.failed = answer
+	a.failed, a.maybeRun = answer, true
 	a.why = "member " + up.id + ": " + answer.Err.Error()
 	return statement.Answer{}, notRun
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,8 +25,9 @@
 	upstreams *Upstreams
 	log       *logrus.Entry
 	set       *metrics.Set
-	limiter   *logs.Limiter
+	sampler   *logs.Limiter // of log lines
 	failures  *failures
+	limiter   Limiter
 
 	carriers     atomic.Pointer[map[string]Carriers] // by group
 	carrierConns *carrierConns
@@ -38,14 +39,14 @@
 
 // New returns a relay of an instance in a data centre, whose times count from
 // started, on the steady clock. current reports whether the topology was confirmed lately
-// enough that what it does not hold does not exist.
-func New(started time.Time, self lead.Instance, topology func() *topology.Snapshot, current func() bool, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
+// enough that what it does not hold does not exist; limiter keeps accounts within their limits.
+func New(started time.Time, self lead.Instance, topology func() *topology.Snapshot, current func() bool, limiter Limiter, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
 	r := &Relay{
-		started: started, self: self.Name, near: self.DataCentre, topology: topology, current: current, upstreams: upstreams, log: log, set: set,
+		started: started, self: self.Name, near: self.DataCentre, topology: topology, current: current, limiter: limiter, upstreams: upstreams, log: log, set: set,
 		gates: make(map[string]*lead.Gate),
 	}
 	r.carrierConns = newCarrierConns(conns, r.now)
-	r.limiter = logs.NewLimiter(r.now)
+	r.sampler = logs.NewLimiter(r.now)
 	r.failures = newFailures()
 	return r
 }
@@ -112,7 +113,7 @@
 		}
 		return
 	}
-	if leftOut, ok := r.limiter.Allow(outcome + a.route.Group); ok {
+	if leftOut, ok := r.sampler.Allow(outcome + a.route.Group); ok {
 		r.line(a, outcome, took, leftOut).WithField("detail", answer.Err.Detail).Info("relay: a statement did not succeed")
 	}
 }
@@ -146,7 +147,7 @@
 // logLost records a statement whose answer did not arrive.
 func (r *Relay) logLost(s *session, st statement.Statement, id string, cause error) {
 	r.set.GetOrCreateCounter(`stackspindle_lost_answers_total{member="` + id + `"}`).Inc()
-	if leftOut, ok := r.limiter.Allow("lost" + id); ok {
+	if leftOut, ok := r.sampler.Allow("lost" + id); ok {
 		r.log.WithFields(logrus.Fields{"request": st.ID, "database": s.start.Database, "member": id, "left_out": leftOut}).WithError(cause).
 			Info("relay: an answer did not arrive")
 	}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -55,7 +55,7 @@
 	upstreams.Update(snap, placedFor(snap, 1), "")
 	t.Cleanup(upstreams.Close)
 	b := &bench{group: group, snap: snap}
-	b.relay = New(started, lead.Instance{}, b.topology, func() bool { return true }, upstreams, peerconn.New(), log.WithField("part", "relay"), metrics.NewSet())
+	b.relay = New(started, lead.Instance{}, b.topology, func() bool { return true }, unlimited{}, upstreams, peerconn.New(), log.WithField("part", "relay"), metrics.NewSet())
 	b.gate = b.relay.Gate("g")
 	b.gate.Learn(lead.Record{Group: "g", Primary: "m1", Term: 1}, 1)
 	b.gate.Confirm(b.relay.now())
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -141,12 +141,12 @@
 	status, err := r.upstreams.status(m.ID, verifyTimeout)
 	switch {
 	case err != nil:
-		if leftOut, ok := r.limiter.Allow("verify" + m.ID); ok {
+		if leftOut, ok := r.sampler.Allow("verify" + m.ID); ok {
 			log().WithError(err).WithField("left_out", leftOut).Info("relay: the grant is not confirmed, and a member that might lead does not answer")
 		}
 		return false
 	case status.Primary || status.Term > a.Term:
-		if leftOut, ok := r.limiter.Allow("verify" + m.ID); ok {
+		if leftOut, ok := r.sampler.Allow("verify" + m.ID); ok {
 			log().WithFields(logrus.Fields{"leads": status.Primary, "its_term": status.Term, "left_out": leftOut}).
 				Info("relay: the grant is not confirmed, and a member leads in a newer term")
 		}
