--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -176,7 +176,8 @@
 		role = "primary"
 	}
 	r.put("servers/"+id, map[string]any{
-		"service": g.name, "address": g.proxies[id].Addr(), "zone": "east", "capacity": 3, "state": state, "db-role": role,
+		"service": g.name, "address": g.proxies[id].Addr(), "zone": "east", "version": "v1", "capacity": 3, "state": state,
+		"cold-remaining-ms": 0, "sequence": 1, "db-role": role,
 	})
 }
 
