--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -55,6 +55,8 @@
 	instances []*Instance
 	clients   []*memstore.Client
 	peers     []*faultproxy.Proxy // through which the others reach an instance
+	decoder   Decoder
+	output    io.Writer // of all logs
 }
 
 func encodeJSON(t *testing.T, v any) []byte {
@@ -91,7 +93,13 @@
 
 func newFleetWith(t *testing.T, n int, config topology.Config) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: memstore.New(), group: membergroup.New(testGroup, testMembers...)}
+	return newFleetOn(t, n, config, jsonDecoder{}, io.Discard)
+}
+
+// newFleetOn is newFleetWith with a decoder of the store's documents and a place for the logs.
+func newFleetOn(t *testing.T, n int, config topology.Config, decoder Decoder, output io.Writer) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, store: memstore.New(), group: membergroup.New(testGroup, testMembers...), decoder: decoder, output: output}
 	f.store.Put("config", encodeJSON(t, config))
 	for _, id := range testMembers {
 		f.putMember(id)
@@ -115,12 +123,13 @@
 	must.NoError(f.t, err)
 	f.t.Cleanup(proxy.Close)
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(f.output)
+	log.SetLevel(logrus.DebugLevel)
 	inst, err := New(Settings{
-		Name: name, CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", PeerAddress: proxy.Addr(), ReadyListen: "127.0.0.1:0",
+		Name: name, CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", PeerAddress: proxy.Addr(), ReadyListen: "127.0.0.1:0", MetricsListen: "127.0.0.1:0",
 		Grace: 6 * time.Second, LeaseTTL: 3 * time.Second, StoreSilence: 4 * time.Second, MaxCallers: 100,
 	}, Platform{
-		Store: client, Promoter: f.group, Dialer: f.group, Decoder: jsonDecoder{},
+		Store: client, Promoter: f.group, Dialer: f.group, Decoder: f.decoder,
 		Caller: func(conn net.Conn) relay.Caller { return platform.NewCallerConn(conn) },
 		Ready:  func(ready func() bool) http.Handler { return http.NotFoundHandler() },
 	}, log)
@@ -178,14 +187,21 @@
 
 // call connects a caller to an instance.
 func (f *testFleet) call(n int, database string) *testCaller {
+	f.t.Helper()
+	c := f.connect(n, database)
+	must.Eq(f.t, []string{"READY I -"}, c.read())
+	return c
+}
+
+// connect connects a caller to an instance, with what it says at the start.
+func (f *testFleet) connect(n int, start string) *testCaller {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", f.instances[n].CallerAddr())
 	must.NoError(f.t, err)
 	f.t.Cleanup(func() { conn.Close() })
 	c := &testCaller{t: f.t, conn: conn, r: bufio.NewReader(conn)}
-	_, err = fmt.Fprintf(conn, "STARTUP %s\r\n", database)
+	_, err = fmt.Fprintf(conn, "STARTUP %s\r\n", start)
 	must.NoError(f.t, err)
-	must.Eq(f.t, []string{"READY I -"}, c.read())
 	return c
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,12 +123,12 @@
 	topology.Strict: "strict", topology.BoundedStaleness: "bounded", topology.ReadYourWrites: "own_writes",
 }
 
-// line returns a log line with what decided about a statement: the route and the
+// line returns a log line with what decided about a statement: the account, the route and the
 // version that it is of, the authority with the record that it rests on, and the
 // member that was used last.
 func (r *Relay) line(a *attempt, outcome string, took time.Duration, leftOut int) *logrus.Entry {
 	fields := logrus.Fields{
-		"request": a.st.ID, "database": a.route.Database, "group": a.route.Group, "kind": consistencyNames[a.route.Consistency],
+		"request": a.st.ID, "account": a.account, "database": a.route.Database, "group": a.route.Group, "kind": consistencyNames[a.route.Consistency],
 		"config_version": r.snapshot().Version, "outcome": outcome, "took_ms": took.Milliseconds(),
 		"read": a.reads, "offered": a.offered, "rounds": a.tries, "member": a.lastMember, "after": a.lastAfter.String(),
 		"sample_age_ms": a.group.sampleAge(r.now()).Milliseconds(),
