Limits: a registration that is written again fills no bucket

Found by reading: settling again, as after a lost lease, forgot what had been given out, so that a full bucket stood where an empty one was. Fails before: TestSettlingAgainGivesNothing.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -31,8 +31,12 @@
 
 // Settle notes from when on this instance may hold shares: from the start where its
 // registration says that it has settled, else SettleAfter after it was registered. One
-// whose registration had ended and that registers again begins anew.
+// whose registration had ended and that registers again begins anew; one that only
+// renews it goes on, with what it has given out.
 func (l *Ledger) Settle(at time.Duration) {
+	if l.settled >= 0 && at <= l.settled {
+		return
+	}
 	l.settled = at
 	clear(l.buckets)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -187,3 +187,14 @@
 	must.Zero(t, l.Reserve(2*time.Minute, 2*time.Minute, "a", limit, 1).Tokens)
 	must.Positive(t, l.Reserve(2*time.Minute+time.Second, 2*time.Minute+time.Second, "a", limit, 1).Tokens)
 }
+
+// A registration that is written again, as after its lease was lost, fills no bucket.
+func TestSettlingAgainGivesNothing(t *testing.T) {
+	l := NewLedger("front-000", rules)
+	l.Settle(0)
+	limit := account.Limit{Rate: 10, Burst: 10}
+	l.Register(0, NewHolders(names(1)))
+	must.Positive(t, l.Reserve(time.Minute, time.Minute, "a", limit, 1000).Tokens)
+	l.Settle(0)
+	must.Zero(t, l.Reserve(time.Minute, time.Minute, "a", limit, 1000).Tokens)
+}
