Limits: the test's server may be stopped before it serves

TestUnlimitedAccountsAskNobody stops a server whose goroutine had not run yet: Serve then returns ErrServerStopped after the test's end, which panicked.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -49,12 +50,14 @@
 			func() time.Duration { return time.Duration(f.clock.Load()) }, func(task func()) { go task() }, logrus.NewEntry(log), metrics.NewSet())
 		server := grpc.NewServer()
 		limitspb.RegisterLimitsServer(server, l)
-		go func() {
-			if err := server.Serve(listener); err != nil {
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(listener) }()
+		t.Cleanup(func() {
+			server.Stop()
+			if err := <-served; err != nil && !errors.Is(err, grpc.ErrServerStopped) { // stopped before it served
 				t.Errorf("serve: %v", err)
 			}
-		}()
-		t.Cleanup(server.Stop)
+		})
 		f.limiters, f.servers = append(f.limiters, l), append(f.servers, server)
 		f.alive, names = append(f.alive, self), append(names, self.Name)
 	}
