--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -31,8 +31,11 @@
 	// quickSuccession is how soon after a watch was sent changes must have come to
 	// count as such.
 	quickSuccession = 500 * time.Millisecond
-	// storeTimeout bounds any other call.
+	// storeTimeout bounds any other call but a list.
 	storeTimeout = 1500 * time.Millisecond
+	// listTimeout bounds a list of all that the store holds, whose answer may be long. One
+	// that stalls ends sooner, by the store's client.
+	listTimeout = 10 * time.Second
 	// followTime is how long another instance may hold a question, and followSlack
 	// covers its way. Two that are dark in turn delay a change by 1.8 s, of the 3 s
 	// within which a configuration must be in force.
@@ -153,7 +156,7 @@
 }
 
 func (i *Instance) listOnce() (feed.Picture, error) {
-	ctx, cancel := context.WithTimeout(i.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(i.ctx, listTimeout)
 	defer cancel()
 	sent := i.now()
 	items, revision, err := i.platform.Store.List(ctx, "")
