Limits: a bucket counts from the start of its process

Why it may begin sooner: a share passes on only with the end of a registration, 31.75 s after the lease, and its holder has given out nothing for 3.1 s by then.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -90,11 +90,12 @@
 }
 
 // fill returns the bucket of an account with the tokens that have come meanwhile. One
-// that is new was empty when this instance last came to hold shares.
+// that is new was empty when this instance last came to hold the share: when it settled,
+// when its process started, or when the holder before it had given out its last.
 func (l *Ledger) fill(now time.Duration, name string, budget Budget) *bucket {
 	b := l.buckets[name]
 	if b == nil {
-		b = &bucket{at: max(l.settled, l.changed)}
+		b = &bucket{at: max(0, l.settled, l.changed-silentBefore)}
 		l.buckets[name] = b
 	}
 	b.tokens = min(budget.Depth, b.tokens+budget.Refill*(now-b.at).Seconds())
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -38,6 +38,12 @@
 	// SettleAfter is for how long an instance must have been registered before it holds
 	// shares, on its own clock.
 	SettleAfter = Validity + Validity/50
+	// silentBefore is for how long a holder has given out nothing when its registration is
+	// removed, and with it the reason why another one holds its share: the 32 s less
+	// Validity, each by a clock of its own. A process that starts again counts from its start
+	// so, not from when it has read the store 0.2 to 0.5 s later: those are the seconds in which
+	// all callers return.
+	silentBefore = 3 * time.Second
 	// drift is the part by which the clocks of two instances may differ in speed.
 	drift = 0.01
 	// minLife and maxLife bound for how long a token is worth something. It must outlast
