Limits: a right that has expired while its statement waited is not used

Found by reading: rights count by when a statement reaches a member; one that waits for a new primary may be sent up to its timeout after its token was taken, later than the token's life. Fails before: TestRightThatExpiredIsNotUsed.

--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -63,6 +63,13 @@
 // Token is the right to one operation. The zero one is none.
 type Token struct{ until time.Duration }
 
+// TokenUntil returns a token that is worth something until a time.
+func TokenUntil(until time.Duration) Token { return Token{until: until} }
+
+// Expired reports whether the token is not worth anything any more, so that its operation
+// must not be sent to a member with it. None never expires.
+func (t Token) Expired(now time.Duration) bool { return t != (Token{}) && t.until <= now }
+
 // Return takes back a token whose operation has not run.
 func (m *Meter) Return(name string, t Token) {
 	if t != (Token{}) {
--- a/internal/relay/admit_test.go
+++ b/internal/relay/admit_test.go
@@ -232,3 +232,28 @@
 	_, err := before.pool.Acquire(t.Context(), pool.Request{Service: "s"}, nil)
 	must.ErrorIs(t, err, connpool.ErrClosed)
 }
+
+// expiring is a Limiter whose first rights have expired when they are used.
+type expiring struct{ expired, spent int }
+
+func (e *expiring) Spend(string) (quota.Token, time.Duration, bool) {
+	e.spent++
+	if e.spent <= e.expired {
+		return quota.TokenUntil(1), 0, true
+	}
+	return quota.TokenUntil(time.Hour), 0, true
+}
+
+func (e *expiring) Return(string, quota.Token) {}
+
+// A statement that has waited for longer than its right lasts needs another one before
+// it is sent, since rights count by when they are used.
+func TestRightThatExpiredIsNotUsed(t *testing.T) {
+	b := newBench(t)
+	b.declare(2, "a")
+	rights := &expiring{expired: 1}
+	b.relay.limiter = rights
+	must.Nil(t, b.run(newSession(b.relay, withKey("strict", "a")), statement.Read, "READ 1").Err)
+	must.Eq(t, 2, rights.spent)
+	must.Len(t, 1, b.group.Runs())
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -334,6 +334,10 @@
 		a.why = err.Error()
 		return statement.Answer{}, noRoom
 	}
+	if a.token.Expired(a.now()) && !a.spendAgain() {
+		held.release() // it has waited for longer than the right to it lasts
+		return statement.Answer{}, noRoom
+	}
 	asked := a.now()
 	stuck := time.AfterFunc(a.patience(), lease.Park)
 	defer stuck.Stop()
@@ -365,9 +369,11 @@
 // once more when the account has the right to another operation, since one that may
 // have run counts.
 func (a *attempt) mayRepeat() bool {
-	if !a.maybeRun {
-		return true
-	}
+	return !a.maybeRun || a.spendAgain()
+}
+
+// spendAgain uses the account's right to another operation.
+func (a *attempt) spendAgain() bool {
 	var ok bool
 	if a.token, _, ok = a.s.relay.limiter.Spend(a.account); !ok {
 		a.why, a.atLimit = "the account is at its limit", true
