--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -134,6 +134,26 @@
 	}
 }
 
+// surgeLength is longer than a window and the life of a token.
+const surgeLength = 9 * time.Second
+
+// surge lets a node take and use all that all nodes give, again and again.
+func (w *world) surge(n *node) {
+	const pause = 250 * time.Millisecond
+	for range surgeLength / pause {
+		for _, holder := range w.nodes {
+			if !n.up || !holder.up {
+				continue
+			}
+			g := holder.ledger.Reserve(holder.clock(w.now), holder.confirmed, "a", w.limit, 1000)
+			for range g.Tokens {
+				w.used = append(w.used, w.now)
+			}
+		}
+		w.pass(pause)
+	}
+}
+
 // spend lets a node use all tokens that are still worth something.
 func (w *world) spend(n *node) {
 	if !n.up {
@@ -187,7 +207,7 @@
 
 func (w *world) step() {
 	n := rapid.SampledFrom(w.nodes).Draw(w.t, "node")
-	switch rapid.SampledFrom([]string{"greed", "greed", "greed", "pass", "leap", "sync", "sync", "cut", "kill", "restart", "join"}).Draw(w.t, "what") {
+	switch rapid.SampledFrom([]string{"greed", "greed", "surge", "pass", "leap", "sync", "sync", "cut", "kill", "restart", "join"}).Draw(w.t, "what") {
 	case "greed": // a node takes from all others, and uses it now or as late as it can
 		for _, holder := range w.nodes {
 			w.reserve(n, holder)
@@ -196,6 +216,8 @@
 			w.pass(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second}).Draw(w.t, "for"))
 		}
 		w.spend(n)
+	case "surge": // all that all give, for longer than a window
+		w.surge(n)
 	case "pass":
 		w.pass(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second}).Draw(w.t, "for"))
 	case "leap": // long enough for pictures and registrations to end, while some hear of the store
