A test that could not fail for half of its cases; figures as reckoned are called so

TestReadThatRunsAgainCountsAgain looked at nothing where two rights were left; it counts the runs at the members now, for one right and for two. Two comments gave figures that no run had printed: one is called reckoned, one is gone. No decision changed.

--- a/internal/feed/changes_test.go
+++ b/internal/feed/changes_test.go
@@ -31,7 +31,7 @@
 		var history []kv.Event
 		mirrors := []*Mirror{NewMirror(), NewMirror(), NewMirror()}
 		revision := int64(0)
-		any := func(label string) *Mirror { return mirrors[rapid.IntRange(0, 2).Draw(t, label)] }
+		pick := func(label string) *Mirror { return mirrors[rapid.IntRange(0, 2).Draw(t, label)] }
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0, 1:
@@ -49,9 +49,9 @@
 				for key, at := range store {
 					whole.Events = append(whole.Events, put(key, at))
 				}
-				any("who").Take(whole)
+				pick("who").Take(whole)
 			case 3: // one watches the store
-				m := any("who")
+				m := pick("who")
 				if m.Revision() == 0 {
 					continue
 				}
@@ -63,7 +63,7 @@
 				}
 				m.Take(changes)
 			default: // one follows another
-				from, to := any("from"), any("to")
+				from, to := pick("from"), pick("to")
 				if from.Revision() > 0 && from != to {
 					follow(from, to)
 				}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -41,7 +41,7 @@
 	// silentBefore is for how long a holder has given out nothing when its registration is
 	// removed, and with it the reason why another one holds its share: the 32 s less
 	// Validity, each by a clock of its own. A process that starts again counts from its start
-	// so, not from when it has read the store 0.2 to 0.5 s later: those are the seconds in which
+	// so, not from when it has read the store: those are the seconds in which
 	// all callers return.
 	silentBefore = 3 * time.Second
 	// drift is the part by which the clocks of two instances may differ in speed.
@@ -77,8 +77,8 @@
 // Budget returns the budget of an account. In any window and the life of a token before
 // it, no more tokens are given out than operations are allowed in a window. Tokens come
 // as fast as an account may go on asking, window after window, which is faster than its rate:
-// a bucket as deep as the burst that is refilled at the rate gave an account that asks 1.8
-// times its limit 0.83 of what it may have.
+// with a burst of a second's rate and a window of 5 s, a bucket that is refilled at the rate
+// gives 0.83 of what may be had, as reckoned.
 func (r Rules) Budget(l account.Limit) Budget {
 	if l.Rate <= 0 && l.Burst <= 0 {
 		return Budget{}
--- a/internal/relay/admit_test.go
+++ b/internal/relay/admit_test.go
@@ -180,18 +180,17 @@
 
 // A read that is run again elsewhere, since a member failed it, counts again.
 func TestReadThatRunsAgainCountsAgain(t *testing.T) {
-	for rights, want := range map[int]statement.Code{1: statement.StatementFailed, 2: 0} {
+	for _, rights := range []int{1, 2} {
 		b := newBench(t)
 		b.declare(2, "a")
 		must.Nil(t, b.run(newSession(b.relay, withKey("strict", "a")), statement.Read, "READ 1").Err) // brings a sample
 		b.group.FailStatements("m1", 1)
 		b.group.FailStatements("m2", 1)
+		before := len(b.group.Runs())
 		b.relay.limiter = &fixedRights{left: rights}
 		answer := b.run(newSession(b.relay, withKey("bounded", "a")), statement.Read, "READ 1")
-		if want == 0 {
-			continue
-		}
-		must.Eq(t, want, answer.Err.Code)
+		must.Eq(t, statement.StatementFailed, answer.Err.Code)
+		must.Len(t, before+rights, b.group.Runs())
 	}
 }
 
