Relay: first statements in files with one job each; constructors take a struct; an attempt has a context

No decision changed. first.go and upstreams.go held several jobs (choice of a member, how long a statement is held, work at a member, samples of a group); relay.New and limits.New took nine and eight arguments.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -170,8 +170,14 @@
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
-	i.limiter = limits.New(i.self, settings.Limits, i.accounts, i.conns, i.now, i.spawn, i.part("limits"), i.set)
-	i.relay = relay.New(i.started, i.self, i.topology.Load, i.current, i.limiter, i.upstreams, i.conns, i.part("relay"), i.set)
+	i.limiter = limits.New(limits.Config{
+		Self: i.self, Rules: settings.Limits, Accounts: i.accounts, Conns: i.conns,
+		Now: i.now, Spawn: i.spawn, Log: i.part("limits"), Metrics: i.set,
+	})
+	i.relay = relay.New(relay.Config{
+		Started: i.started, Self: i.self, Topology: i.topology.Load, Current: i.current, Limiter: i.limiter,
+		Upstreams: i.upstreams, Conns: i.conns, Log: i.part("relay"), Metrics: i.set,
+	})
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
 		return nil, err
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -55,14 +55,25 @@
 	waiting    map[string]int           // operations that wait for a token, by account
 }
 
-// New returns the limiter of an instance whose process has just started. accounts
-// returns the directory in force.
-func New(self lead.Instance, rules quota.Rules, accounts func() *account.Directory, conns *peerconn.Conns, now func() time.Duration, spawn func(func()), log *logrus.Entry, set *metrics.Set) *Limiter {
+// Config is what a limiter works with.
+type Config struct {
+	Self     lead.Instance // this instance, whose process has just started
+	Rules    quota.Rules
+	Accounts func() *account.Directory // in force
+	Conns    *peerconn.Conns           // to other instances
+	Now      func() time.Duration
+	Spawn    func(func()) // runs a task in the background
+	Log      *logrus.Entry
+	Metrics  *metrics.Set
+}
+
+// New returns a limiter.
+func New(cfg Config) *Limiter {
 	return &Limiter{
-		self: self.Name, accounts: accounts, conns: conns, now: now, spawn: spawn, log: log,
-		counters:  counters{set: set, named: make(map[string]bool)},
-		meter:     quota.NewMeter(self.Name, self.DataCentre),
-		ledger:    quota.NewLedger(self.Name, rules),
+		self: cfg.Self.Name, accounts: cfg.Accounts, conns: cfg.Conns, now: cfg.Now, spawn: cfg.Spawn, log: cfg.Log,
+		counters:  counters{set: cfg.Metrics, named: make(map[string]bool)},
+		meter:     quota.NewMeter(cfg.Self.Name, cfg.Self.DataCentre),
+		ledger:    quota.NewLedger(cfg.Self.Name, cfg.Rules),
 		confirmed: -quota.Validity,
 		holders:   quota.NewHolders(nil),
 		questions: make(map[string]chan struct{}),
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -46,8 +46,11 @@
 		self := lead.Instance{Name: fmt.Sprintf("front-%02d", i), DataCentre: "dc", Address: listener.Addr().String()}
 		conns := peerconn.New()
 		t.Cleanup(conns.Close)
-		l := New(self, rules, func() *account.Directory { return directory }, conns,
-			func() time.Duration { return time.Duration(f.clock.Load()) }, func(task func()) { go task() }, logrus.NewEntry(log), metrics.NewSet())
+		l := New(Config{
+			Self: self, Rules: rules, Accounts: func() *account.Directory { return directory }, Conns: conns,
+			Now: func() time.Duration { return time.Duration(f.clock.Load()) }, Spawn: func(task func()) { go task() },
+			Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
+		})
 		server := grpc.NewServer()
 		limitspb.RegisterLimitsServer(server, l)
 		served := make(chan error, 1)
--- a/internal/relay/admit_test.go
+++ b/internal/relay/admit_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -126,7 +127,7 @@
 			work.Go(func() {
 				s := newSession(b.relay, withKey(database, name))
 				for n := range 50 {
-					s.handle(statement.Statement{ID: name + fmt.Sprint(n), Kind: statement.Read, Text: "READ 1"}, b.relay.now())
+					s.handle(context.Background(), statement.Statement{ID: name + fmt.Sprint(n), Kind: statement.Read, Text: "READ 1"}, b.relay.now())
 				}
 			})
 		}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -65,7 +65,7 @@
 			carried.heard()
 			continue
 		}
-		reply := c.run(carried, req)
+		reply := c.run(context.Background(), carried, req)
 		if err := stream.Send(reply); err != nil {
 			return err
 		}
@@ -76,7 +76,7 @@
 }
 
 // run has a statement run in its session.
-func (c *CarrierServer) run(carried *carriedSession, req *relaypb.CarryRequest) *relaypb.CarryReply {
+func (c *CarrierServer) run(ctx context.Context, carried *carriedSession, req *relaypb.CarryRequest) *relaypb.CarryReply {
 	carried.mu.Lock()
 	defer carried.mu.Unlock()
 	if s := carried.session; s == nil || s.tx == nil && s.lost == "" {
@@ -89,7 +89,7 @@
 		carried.session.floor = decodePosition(req.Floor)
 	}
 	s := carried.session
-	answer := s.handle(c.statement(s, req), c.relay.now()-time.Duration(req.ElapsedUs)*time.Microsecond)
+	answer := s.handle(ctx, c.statement(s, req), c.relay.now()-time.Duration(req.ElapsedUs)*time.Microsecond)
 	carried.await()
 	return encodeReply(answer, s.floor)
 }
--- a/internal/relay/carrier_test.go
+++ b/internal/relay/carrier_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -16,11 +17,11 @@
 	b := newBench(t)
 	server := NewCarrierServer(b.relay)
 	read := &relaypb.CarryRequest{Database: "strict", Id: "x", Text: "READ 1", Kind: int32(statement.Read)}
-	must.True(t, server.run(&carriedSession{}, read).Stopping, must.Sprint("it is not registered yet"))
+	must.True(t, server.run(context.Background(), &carriedSession{}, read).Stopping, must.Sprint("it is not registered yet"))
 
 	b.relay.StartCarrying()
-	must.Zero(t, server.run(&carriedSession{}, read).Code)
+	must.Zero(t, server.run(context.Background(), &carriedSession{}, read).Code)
 
 	read.Database = "added a moment ago"
-	must.True(t, server.run(&carriedSession{}, read).Stopping, must.Sprint("the one that asks knows of the database"))
+	must.True(t, server.run(context.Background(), &carriedSession{}, read).Stopping, must.Sprint("the one that asks knows of the database"))
 }
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -28,7 +29,7 @@
 }
 
 // carry has a first statement run by a carrier.
-func (s *session) carry(st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
+func (s *session) carry(_ context.Context, st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
 	why := "no carrier could be asked"
 	for _, carrier := range s.relay.carrierConns.order(carriers, carriersTried) {
 		left := arrived + route.Timeout - s.relay.now()
--- /dev/null
+++ b/internal/relay/choose.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/routing"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// lostReadShare is the part of its objective after which a read that got no
+// answer is given to another member.
+const lostReadShare = 0.5
+
+// round offers the statement to each member that may serve it, once.
+func (a *attempt) round() (statement.Answer, outcome) {
+	if a.needsPrimary() {
+		return a.tryPrimary(a.holdUntil())
+	}
+	required, ok := a.required()
+	if !ok {
+		a.why = "no replica is known to be fresh enough"
+		return a.tryPrimary(a.holdUntil())
+	}
+	order := routing.Order(a.candidates(), required, a.group.age(a.now(), required))
+	last := noRoom
+	for i, c := range order {
+		wait := time.Duration(0) // a connection that is free now
+		if i == 0 && a.tries > 0 || len(order) == 1 {
+			wait = retryPause
+		}
+		answer, out := a.tryOne(c, required, a.now()+wait, len(order)-i > 1)
+		if out == served || out == unknown {
+			return answer, out
+		}
+		last = out
+	}
+	a.tries++
+	return statement.Answer{}, last
+}
+
+// required returns the position that a read must see, or false when no sample
+// of the primary is young enough.
+func (a *attempt) required() (group.Position, bool) {
+	p, ok := a.group.required(a.arrived - a.route.MaxStaleness)
+	if !ok {
+		return group.Position{}, false
+	}
+	if a.route.Consistency == topology.ReadYourWrites {
+		p = group.Max(p, a.group.floor(a.s.floor))
+	}
+	return p, true
+}
+
+// candidates returns the members that might serve a read.
+func (a *attempt) candidates() []routing.Candidate {
+	relay := a.s.relay
+	authority, err := a.gate.Authority()
+	var candidates []routing.Candidate
+	for _, m := range relay.snapshot().ByGroup[a.route.Group] {
+		up := relay.upstreams.get(m.ID)
+		if up == nil {
+			continue
+		}
+		c := up.view(a.now())
+		c.Near = m.DataCentre == relay.near
+		if err == nil && m.ID == authority.Primary {
+			c.Primary = true
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+func (a *attempt) tryOne(c routing.Candidate, required group.Position, waitUntil time.Duration, others bool) (statement.Answer, outcome) {
+	if c.Primary {
+		return a.tryPrimary(waitUntil)
+	}
+	up := a.s.relay.upstreams.get(c.ID)
+	if up == nil {
+		return statement.Answer{}, noRoom
+	}
+	timeout := a.deadline
+	if others {
+		timeout = min(timeout, a.now()+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
+	}
+	return a.tryAt(a.ctx, target{up: up, after: required}, waitUntil, timeout)
+}
+
+// tryPrimary offers the statement to the primary, under a pass.
+func (a *attempt) tryPrimary(waitUntil time.Duration) (statement.Answer, outcome) {
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
+	breaker := &breaker{cancel: cancel}
+	pass, err := a.gate.Enter(breaker.trip)
+	if err != nil {
+		a.why = err.Error()
+		return statement.Answer{}, noRoom
+	}
+	if !a.mayWrite(pass) {
+		pass.Done()
+		a.why = "the grant is not confirmed, and the members do not verify it"
+		return statement.Answer{}, noRoom
+	}
+	up := a.s.relay.upstreams.get(pass.Primary)
+	if up == nil {
+		pass.Done()
+		a.why = "the primary's entry is gone"
+		return statement.Answer{}, noRoom
+	}
+	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker}, waitUntil, a.deadline)
+	if a.s.tx == nil || a.s.tx.pass != pass {
+		pass.Done()
+	}
+	return answer, out
+}
+
+// mayWrite reports whether work that may write can be sent to the primary: the
+// grant is confirmed, or the members could verify it a moment ago.
+func (a *attempt) mayWrite(pass *lead.Pass) bool {
+	return a.reads || pass.Standing() == lead.Confirmed || a.group.verifiedLately(a.now()) ||
+		a.s.relay.verify(a.group, pass.Authority)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,15 +37,29 @@
 	gates map[string]*lead.Gate
 }
 
-// New returns a relay of an instance in a data centre, whose times count from
-// started, on the steady clock. current reports whether the topology was confirmed lately
-// enough that what it does not hold does not exist; limiter keeps accounts within their limits.
-func New(started time.Time, self lead.Instance, topology func() *topology.Snapshot, current func() bool, limiter Limiter, upstreams *Upstreams, conns *peerconn.Conns, log *logrus.Entry, set *metrics.Set) *Relay {
+// Config is what a relay works with.
+type Config struct {
+	Started  time.Time     // from which the relay's times count, on the steady clock
+	Self     lead.Instance // this instance
+	Topology func() *topology.Snapshot
+	// Current reports whether the topology was confirmed lately enough that what it does
+	// not hold does not exist.
+	Current   func() bool
+	Limiter   Limiter // keeps accounts within their limits
+	Upstreams *Upstreams
+	Conns     *peerconn.Conns // to other instances
+	Log       *logrus.Entry
+	Metrics   *metrics.Set
+}
+
+// New returns a relay.
+func New(cfg Config) *Relay {
 	r := &Relay{
-		started: started, self: self.Name, near: self.DataCentre, topology: topology, current: current, limiter: limiter, upstreams: upstreams, log: log, set: set,
+		started: cfg.Started, self: cfg.Self.Name, near: cfg.Self.DataCentre, topology: cfg.Topology, current: cfg.Current,
+		limiter: cfg.Limiter, upstreams: cfg.Upstreams, log: cfg.Log, set: cfg.Metrics,
 		gates: make(map[string]*lead.Gate),
 	}
-	r.carrierConns = newCarrierConns(conns, r.now)
+	r.carrierConns = newCarrierConns(cfg.Conns, r.now)
 	r.sampler = logs.NewLimiter(r.now)
 	r.failures = newFailures()
 	return r
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -188,7 +188,7 @@
 		return false
 	}
 	c.setBusy(true)
-	answer := c.session.handle(st, arrived)
+	answer := c.session.handle(context.Background(), st, arrived)
 	ok := c.reply(answer)
 	c.noteFailure(st, answer, ok)
 	c.setBusy(false)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -52,14 +53,15 @@
 	}
 }
 
-// handle returns the answer to a statement that arrived at a time.
-func (s *session) handle(st statement.Statement, arrived time.Duration) statement.Answer {
-	answer := s.answer(st, arrived)
+// handle returns the answer to a statement that arrived at a time. ctx ends when nobody
+// waits for the answer any more.
+func (s *session) handle(ctx context.Context, st statement.Statement, arrived time.Duration) statement.Answer {
+	answer := s.answer(ctx, st, arrived)
 	s.state = answer.State
 	return answer
 }
 
-func (s *session) answer(st statement.Statement, arrived time.Duration) statement.Answer {
+func (s *session) answer(ctx context.Context, st statement.Statement, arrived time.Duration) statement.Answer {
 	ends := st.Kind == statement.Commit || st.Kind == statement.Rollback
 	switch {
 	case s.lost != "":
@@ -85,7 +87,7 @@
 	case ends:
 		return statement.Failure(statement.Idle, statement.Malformed, "no transaction is open")
 	}
-	return s.first(st, arrived)
+	return s.first(ctx, st, arrived)
 }
 
 // afterLoss tells the caller that its transaction is gone. Nothing of it is kept,
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -55,7 +55,10 @@
 	upstreams.Update(snap, placedFor(snap, 1), "")
 	t.Cleanup(upstreams.Close)
 	b := &bench{group: group, snap: snap}
-	b.relay = New(started, lead.Instance{}, b.topology, func() bool { return true }, unlimited{}, upstreams, peerconn.New(), log.WithField("part", "relay"), metrics.NewSet())
+	b.relay = New(Config{
+		Started: started, Topology: b.topology, Current: func() bool { return true }, Limiter: unlimited{},
+		Upstreams: upstreams, Conns: peerconn.New(), Log: log.WithField("part", "relay"), Metrics: metrics.NewSet(),
+	})
 	b.gate = b.relay.Gate("g")
 	b.gate.Learn(lead.Record{Group: "g", Primary: "m1", Term: 1}, 1)
 	b.gate.Confirm(b.relay.now())
@@ -69,7 +72,7 @@
 
 // run has a session answer a statement that arrives now.
 func (b *bench) run(s *session, kind statement.Kind, text string) statement.Answer {
-	return s.handle(statement.Statement{ID: "x", Kind: kind, Text: text}, b.relay.now())
+	return s.handle(context.Background(), statement.Statement{ID: "x", Kind: kind, Text: text}, b.relay.now())
 }
 
 func TestRestingTransactionIsRolledBack(t *testing.T) {
--- /dev/null
+++ b/internal/relay/upstream.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/stackspindle/stackspindle/internal/connpool"
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/pacing"
+	"github.com/stackspindle/stackspindle/internal/routing"
+)
+
+// upstream is one member with its connections and what was seen of it.
+type upstream struct {
+	id      string
+	group   string
+	address string
+	born    int64 // the member's start that all this is of
+	pool    *connpool.Pool[*member.Shared]
+
+	mu       sync.Mutex // guards the rest
+	draining bool
+	carried  bool // this instance is a carrier of the group, or none is known
+	health   member.Health
+	position group.Position // end of its log, as its answers told
+	behind   time.Duration  // how long ago the primary was there; negative: not known
+	lagUntil time.Duration  // before which a read that it could not serve is not tried again
+	lagged   int            // reads in a row that it could not serve
+	lagSince time.Duration  // when the first of them was
+	recent   tally
+	window   pacing.Window
+}
+
+// tally is what came of the attempts at a member since the last report.
+type tally struct {
+	answered int
+	lagging  int
+	unheard  int           // attempts that got no answer
+	took     time.Duration // all answers together
+	longest  time.Duration
+}
+
+// noteAnswer records an answer to a question of that time.
+func (up *upstream) noteAnswer(asked, now time.Duration, p group.Position) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.health.Answered(now)
+	up.recent.answered++
+	up.recent.took += now - asked
+	up.recent.longest = max(up.recent.longest, now-asked)
+	if !p.IsZero() {
+		up.position = p
+	}
+}
+
+func (up *upstream) noteMiss(now time.Duration) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.health.Missed(now)
+	up.recent.unheard++
+}
+
+// isCarried reports whether this instance is to hold connections to the member.
+func (up *upstream) isCarried() bool {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.carried
+}
+
+// noteBroken closes the idle connections when one in use has gone silent: whatever
+// silenced it may have silenced them, and each would cost a statement its timeout.
+func (up *upstream) noteBroken(cause error) {
+	if errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, syscall.ETIMEDOUT) {
+		up.pool.DropIdle()
+	}
+}
+
+// noteProgress records where a replica's log ends.
+func (up *upstream) noteProgress(behind time.Duration, lagging bool, now time.Duration) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.behind = behind
+	if !lagging {
+		up.lagged = 0
+		return
+	}
+	up.recent.lagging++
+	if up.lagged == 0 {
+		up.lagSince = now
+	}
+	up.lagUntil = now + min(minLagPause<<min(up.lagged, maxLagShift), maxLagPause)
+	up.lagged++
+}
+
+// Bounds of how long a member that was found lagging is not tried again, for
+// reads that need more than it had. Each try costs a round trip of up to 2.8 ms
+// and a connection for that time.
+const (
+	minLagPause = 15 * time.Millisecond
+	maxLagPause = 120 * time.Millisecond
+	maxLagShift = 3
+)
+
+// view returns what routing needs to know of the member.
+func (up *upstream) view(now time.Duration) routing.Candidate {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return routing.Candidate{
+		ID:       up.id,
+		Draining: up.draining,
+		Usable:   up.health.Usable(now),
+		Refused:  now < up.lagUntil,
+		Position: up.position,
+		Behind:   up.behind,
+		Load:     up.pool.Load(),
+	}
+}
