Lead: a planned change waits for grants that lapse before it is announced, and goes on once the old primary has stepped down

Change: (1) a planned change is announced once no grant would be waited for, for as long as the setting 'fleet drain' leaves; the old primary serves meanwhile. (2) an instance whose grant is not confirmed asks, for a read, the primary too whether it leads; so after the step-down nothing comes of the old primary any more, and any member may be promoted. (3) registrations tell up to which revision the process has seen the store; a member unchanged since is known to it. (4) an instance whose lease has been gone for as long as a grant may be verified does not restrict the choice.

Property TestNoAuthorityAfterPromotion: now with members' revisions, registrations, primaries that step down.

NewController takes a struct. TestTemplate's filled values and required keys have the new setting.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -88,6 +88,7 @@
 		MetricsListen: s.Fleet.Metrics,
 		Grace:         s.Fleet.Grace,
 		LeaseTTL:      s.Fleet.Lease,
+		DrainTime:     s.Fleet.Drain,
 		StoreSilence:  s.Fleet.StoreSilence,
 		MaxCallers:    s.Caller.MaxCallers,
 		FirstStart:    s.Fleet.FirstStart,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -73,6 +73,7 @@
 	Metrics  string // address; empty: no metrics are served
 	Grace    time.Duration
 	Lease    time.Duration
+	Drain    time.Duration // after which no work may reach a member any more that has said it leaves
 
 	// FirstStart says that the whole fleet starts for the first time, so that nobody has
 	// held shares of the accounts' limits before.
@@ -99,7 +100,7 @@
 		Credentials:     make(map[string]string),
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
-		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info", Limits: quota.Rules{Window: 5 * time.Second}},
+		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, Drain: 7 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info", Limits: quota.Rules{Window: 5 * time.Second}},
 	}
 }
 
@@ -299,6 +300,7 @@
 		{"fleet", "metrics"}:                   address(&s.Fleet.Metrics),
 		{"fleet", "grace"}:                     duration(&s.Fleet.Grace),
 		{"fleet", "lease"}:                     duration(&s.Fleet.Lease),
+		{"fleet", "drain"}:                     duration(&s.Fleet.Drain),
 		{"fleet", "store_silence"}:             duration(&s.Fleet.StoreSilence),
 		{"fleet", "log_level"}:                 logLevel(&s.Fleet.LogLevel),
 		{"fleet", "first_start"}:               boolean(&s.Fleet.FirstStart),
--- a/internal/config/template_test.go
+++ b/internal/config/template_test.go
@@ -16,7 +16,7 @@
 var filled = map[string]string{
 	"node-name": "front-1", "zone": "tunis-a", "listen.front": "10.1.0.8:8784", "listen.ready": "10.1.0.8:8785",
 	"ip": "10.1.0.8", "port-range.0": "7440", "platform.address": "10.200.1.7:8783", "cloud-api.address": "10.200.0.160:8783",
-	"bounds.grace-s": "6", "bounds.config-apply-ms": "3000",
+	"bounds.grace-s": "6", "bounds.config-apply-ms": "3000", "bounds.drain-ms": "7000",
 }
 
 // filledWithLimits are those of a deployment that judges the use of client accounts.
@@ -72,7 +72,7 @@
 	must.NoError(t, err)
 	_, err = Parse("instance.ini", gap.ReplaceAll(raw, nil))
 	must.Error(t, err)
-	for _, key := range []string{"[instance] name", "[caller] listen", "[peer] listen", "[fleet] store", "[fleet] ready", "[fleet] grace", "[fleet] store_silence"} {
+	for _, key := range []string{"[instance] name", "[caller] listen", "[peer] listen", "[fleet] store", "[fleet] ready", "[fleet] grace", "[fleet] drain", "[fleet] store_silence"} {
 		must.StrContains(t, err.Error(), key)
 	}
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -168,6 +168,7 @@
 		i.limiter.Learn(view.Names(), view.Alive())
 	}
 	i.pictureAt.Store(max(i.pictureAt.Load(), int64(c.Confirmed)))
+	i.inForce.Store(max(i.inForce.Load(), c.Revision))
 	if c.Whole {
 		i.knownOnce.Do(func() { close(i.known) })
 	}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -68,6 +68,7 @@
 	MetricsListen string        // empty: no metrics are served
 	Grace         time.Duration // after which the platform ends a process that was asked to stop
 	LeaseTTL      time.Duration
+	DrainTime     time.Duration // after which no work may reach a member any more that has said it leaves
 	StoreSilence  time.Duration // within which it must be noticed that the store is silent, or a watch deaf
 	MaxCallers    int
 	FirstStart    bool        // the whole fleet starts for the first time
@@ -109,6 +110,7 @@
 	attestAt       atomic.Int64 // when the last round that a quorum answered was begun
 	pictureAt      atomic.Int64 // when the last store call was sent, by whomever, that showed nothing newer than the picture
 	heardAt        atomic.Int64 // when the last store call was sent, by whomever, that confirmed the grants
+	inForce        atomic.Int64 // revision of the store whose contents are in force here
 	registeredOnce atomic.Bool
 	settlement     settlement // of the registration
 	stopping       atomic.Bool
@@ -182,8 +184,10 @@
 		return nil, err
 	}
 	server := lead.NewServer(i.self.Incarnation, i.relay.Gate, i.informed, i.now, i.upstreams.Heard)
-	i.controller = lead.NewController(i.self, server, i.conns, platform.Store, platform.Promoter, platform.Dialer, surroundings{i},
-		i.now, i.spawn, i.part("lead"))
+	i.controller = lead.NewController(lead.Config{
+		Self: i.self, Own: server, Peers: i.conns, Store: platform.Store, Promoter: platform.Promoter, Dialer: platform.Dialer,
+		Around: surroundings{i}, DrainTime: settings.DrainTime, Now: i.now, Spawn: i.spawn, Log: i.part("lead"),
+	})
 	i.peers = grpc.NewServer(peerconn.ServerOptions()...)
 	leadpb.RegisterCoordinationServer(i.peers, server)
 	i.carrier = relay.NewCarrierServer(i.relay)
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -71,7 +72,7 @@
 		log.Info("lead: the primary should be replaced, but no other member is in service")
 		return
 	}
-	if planned && !c.mostAnswer(ctx, g, log) {
+	if planned && !c.plannedIsDue(ctx, g, log) {
 		return
 	}
 	log.Info("lead: the primary is to be replaced: " + reason)
@@ -84,24 +85,55 @@
 	c.replace(ctx, group, g, change)
 }
 
-// plannedPause is the pause before a planned change is considered again that could not
-// be carried through.
-const plannedPause = time.Second
+// Settings of a planned change, while the primary still serves.
+const (
+	// plannedPause is the pause before one is considered again that was put off.
+	plannedPause = 500 * time.Millisecond
+	// changeTime is what a change takes once all grants are released: the drain, the
+	// promotion, and until the new primary is known.
+	changeTime = plannedDrain + time.Second
+	// silentPatience is for how long an instance that does not answer, and whose lease
+	// holds, puts a planned change off. It may be starting again; one that stays silent
+	// is waited for by the change itself, from its announcement on.
+	silentPatience = time.Second
+)
 
-// mostAnswer reports whether so many instances can be reached that a planned change
-// does not wait for what the others may still attest to one another, with the group
-// left without a primary meanwhile.
-func (c *Controller) mostAnswer(ctx context.Context, g *ledGroup, log *logrus.Entry) bool {
+// plannedIsDue reports whether a planned change can be announced: so many instances
+// can be reached that it does not wait for what the others may still attest to one
+// another, and it does not wait for one that is gone. Once it is announced the group has
+// no primary; until then the old one serves.
+func (c *Controller) plannedIsDue(ctx context.Context, g *ledGroup, log *logrus.Entry) bool {
 	if g.plannedAt > 0 && c.now()-g.plannedAt < plannedPause {
 		return false
 	}
+	if g.putOffSince == 0 || c.now()-g.plannedAt > 4*plannedPause {
+		g.putOffSince = c.now()
+	}
 	g.plannedAt = c.now()
-	s := c.survey(ctx)
-	if s.answered < s.needed {
-		log.WithFields(logrus.Fields{"answered": s.answered, "needed": s.needed}).
-			Info("lead: the primary should be replaced, but too few instances can be reached")
+	s, waited := c.survey(ctx), c.now()-g.putOffSince
+	if why := putOff(s, waited, c.drainTime-grantsLapsed-changeTime); why != "" {
+		log.WithFields(logrus.Fields{
+			"answered": s.answered, "needed": s.needed, "silent": s.silent, "lapsing": s.lapsing, "waited_ms": waited.Milliseconds(),
+		}).Info("lead: the primary is to be replaced as planned, and serves meanwhile: " + why)
+		return false
+	}
+	g.putOffSince = 0
+	return true
+}
+
+// putOff returns why a planned change is not announced yet, empty when it is. patience is
+// for how long it may be put off in all, so that what then waits for each grant ends
+// before work for the old primary must have.
+func putOff(s survey, waited, patience time.Duration) string {
+	switch {
+	case s.answered < s.needed:
+		return "too few instances can be reached"
+	case s.lapsing > 0 && waited < patience:
+		return "the grant of an instance that is gone has not lapsed"
+	case s.silent > 0 && waited < min(patience, silentPatience):
+		return "an instance that may hold a grant does not answer"
 	}
-	return s.answered >= s.needed
+	return ""
 }
 
 // successors returns the members that could lead in place of the primary.
@@ -194,6 +226,12 @@
 		return nil, errGrantsRemain
 	}
 	record.Change = nil
+	if change.Planned && !cleared.stays {
+		if !c.hasSuccessor(group, record.Primary, cleared) {
+			return nil, fmt.Errorf("%w: instances that were not reached may not know of the others", errNoCandidate)
+		}
+		cleared.last, cleared.down = c.finalStatus(ctx, record)
+	}
 	if cleared.stays {
 		c.log.WithFields(logrus.Fields{"group": group, "member": record.Primary}).Info("lead: the primary is well again and stays")
 		return &outcome{record: record, revision: revision}, nil
@@ -245,11 +283,10 @@
 	for {
 		members := c.around.Topology().ByGroup[name]
 		answers := c.askAll(ctx, members, record.Primary)
-		best, decided := Select(answers, Selection{
-			Old: record.Primary, Term: record.Term, Planned: change.Planned, Last: cleared.last.Received, Unreached: cleared.unreached, KnownBefore: c.now() - verifiableLapsed,
-			Replicas: len(members) - 1, SyncReplicas: c.around.Topology().Groups[name].SyncReplicas,
-			Hurry: c.now() >= until,
-		})
+		s := c.selection(cleared)
+		s.Old, s.Term, s.Planned = record.Primary, record.Term, change.Planned
+		s.Replicas, s.SyncReplicas, s.Hurry = len(members)-1, c.around.Topology().Groups[name].SyncReplicas, c.now() >= until
+		best, decided := Select(answers, s)
 		if decided {
 			return best.member, best.status, nil
 		}
@@ -260,6 +297,25 @@
 	}
 }
 
+// selection returns what the end of the old primary's use leaves to choose from. Once
+// that one has stepped down, it refuses the writes of instances that were not reached,
+// and what they read there they do not pass on, since they ask it whether it leads. One
+// that does not tell what it has seen is of a version that does not ask.
+func (c *Controller) selection(cleared clearing) Selection {
+	return Selection{
+		Last: cleared.last.Received, KnownBefore: c.now() - verifiableLapsed, Seen: cleared.seen,
+		Unreached: cleared.unreached && (!cleared.down || cleared.seen == 0),
+	}
+}
+
+// hasSuccessor reports whether any other member may be promoted once a primary that
+// serves has stepped down. Until then it is not told to.
+func (c *Controller) hasSuccessor(group, primary string, cleared clearing) bool {
+	cleared.down = true
+	s := c.selection(cleared)
+	return slices.ContainsFunc(c.successors(group, primary), func(m topology.Member) bool { return !s.Unreached || s.known(m) })
+}
+
 // awaitLead returns once a member leads in a term above another.
 func (c *Controller) awaitLead(ctx context.Context, m topology.Member, above uint64) (member.Status, error) {
 	until := c.now() + promoteWait
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -99,9 +99,12 @@
 	around   Surroundings
 	now      func() time.Duration
 	spawn    func(func())
-	log      *logrus.Entry
-	peers    *peerconn.Conns
-	own      *Server // answers this instance's own questions
+
+	drainTime time.Duration // after which no work may reach a member that leaves
+
+	log   *logrus.Entry
+	peers *peerconn.Conns
+	own   *Server // answers this instance's own questions
 
 	attestAll atomic.Bool // the last round of attestation has not found a quorum
 
@@ -128,6 +131,7 @@
 	absentAt    time.Duration // when the primary's entry was first found missing, 0: it is there
 	steppedAt   time.Duration // when we last tried to give the group up
 	plannedAt   time.Duration // when a planned change was last considered; 0: never
+	putOffSince time.Duration // since when one that is wanted has been put off; 0: none is
 	relievedAt  time.Duration // when the primary was last changed for being alone; 0: never
 	outcome     *outcome      // reached, but perhaps not in the store yet
 	conn        member.Conn   // to the primary, for questions
@@ -168,13 +172,28 @@
 	return n, true
 }
 
-// NewController returns the controller of an instance, which asks its own server
-// as it asks those of others. spawn runs a task in the background.
-func NewController(self Instance, own *Server, peers *peerconn.Conns, store kv.Store, promoter Promoter, dialer member.Dialer, around Surroundings,
-	now func() time.Duration, spawn func(func()), log *logrus.Entry) *Controller {
+// Config is what a controller works with.
+type Config struct {
+	Self     Instance
+	Own      *Server         // answers this instance's own questions as it answers others'
+	Peers    *peerconn.Conns // to other instances
+	Store    kv.Store
+	Promoter Promoter
+	Dialer   member.Dialer
+	Around   Surroundings
+	// DrainTime is after what time no work may reach a member any more that has said it
+	// leaves.
+	DrainTime time.Duration
+	Now       func() time.Duration
+	Spawn     func(func()) // runs a task in the background
+	Log       *logrus.Entry
+}
+
+// NewController returns the controller of an instance.
+func NewController(cfg Config) *Controller {
 	return &Controller{
-		self: self, own: own, store: store, promoter: promoter, dialer: dialer, around: around,
-		now: now, spawn: spawn, log: log, peers: peers, groups: make(map[string]*ledGroup),
+		self: cfg.Self, own: cfg.Own, store: cfg.Store, promoter: cfg.Promoter, dialer: cfg.Dialer, around: cfg.Around, drainTime: cfg.DrainTime,
+		now: cfg.Now, spawn: cfg.Spawn, log: cfg.Log, peers: cfg.Peers, groups: make(map[string]*ledGroup),
 	}
 }
 
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -72,7 +72,10 @@
 	self := Instance{Name: name, Incarnation: name + "-1"}
 	conns := peerconn.New()
 	own := NewServer(self.Incarnation, f.Gate, func() bool { return true }, now, f.Heard)
-	c := NewController(self, own, conns, store, group, group, f, now, func(task func()) { task() }, log.WithField("part", "lead"))
+	c := NewController(Config{
+		Self: self, Own: own, Peers: conns, Store: store, Promoter: group, Dialer: group, Around: f, DrainTime: 10 * time.Second,
+		Now: now, Spawn: func(task func()) { task() }, Log: log.WithField("part", "lead"),
+	})
 	t.Cleanup(conns.Close)
 	lease, err := store.Grant(t.Context(), time.Second)
 	must.NoError(t, err)
--- a/internal/lead/others.go
+++ b/internal/lead/others.go
@@ -68,9 +68,13 @@
 type survey struct {
 	answered int // registered instances that answer, this one included
 	needed   int // that must release before grants cannot be attested any more
-	holders  int // instances that do not answer, and whose grants have not lapsed
+	silent   int // instances that do not answer, and whose leases hold
+	lapsing  int // instances whose leases are gone, and their grants have not lapsed
 }
 
+// holders returns how many instances that do not answer may hold grants.
+func (s survey) holders() int { return s.silent + s.lapsing }
+
 // survey asks all registered instances whether they are there.
 func (c *Controller) survey(ctx context.Context) survey {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
@@ -88,8 +92,10 @@
 		switch {
 		case err == nil:
 			s.answered++
-		case !gone || now-since < grantsLapsed:
-			s.holders++
+		case !gone:
+			s.silent++
+		case now-since < grantsLapsed:
+			s.lapsing++
 		}
 		return err
 	})
--- a/internal/lead/property_test.go
+++ b/internal/lead/property_test.go
@@ -39,6 +39,8 @@
 	told      []string // members that the answer will show
 	members   []string // that it knows of
 	waiting   bool     // a call is under way
+	toldAt    int64    // revision of the members that the answer will show
+	knows     int64    // revision of the members that its registration says it has seen
 }
 
 func (s *simulated) now(truth time.Duration) time.Duration {
@@ -55,11 +57,16 @@
 	rate      float64                  // of the leader's clock
 	members   []string                 // in the store
 	since     map[string]time.Duration // when the leader learned of a member, on its clock
+	written   map[string]int64         // revision of a member's entry
 	promoted  string                   // the member that leads
+	down      map[string]bool          // members that have stepped down and were not promoted since
+	terms     map[string]uint64        // in which members were promoted last
 }
 
 // uses reports whether an instance passes an answer of its primary on: its grant is
-// confirmed, or every other member that it knows of says that it does not lead.
+// confirmed, or every other member that it knows of says that it does not lead and knows of
+// no newer term, and the primary that it leads. Only those that were promoted are taken
+// to know of their term.
 func (w *world) uses(s *simulated) (string, bool) {
 	now := s.now(w.truth)
 	a, err := s.grant.Authority(now)
@@ -70,11 +77,11 @@
 		return a.Primary, true
 	}
 	for _, m := range s.members {
-		if m != a.Primary && m == w.promoted {
+		if m != a.Primary && (m == w.promoted || w.terms[m] > a.Term) {
 			return "", false
 		}
 	}
-	return a.Primary, true
+	return a.Primary, !w.down[a.Primary]
 }
 
 // check fails when an instance uses a primary that was replaced.
@@ -97,6 +104,7 @@
 		w := &world{
 			t: t, record: Record{Group: "g", Primary: "m0", Term: 1}, revision: 1, rate: drawRate(t),
 			members: []string{"m0", "m1"}, since: map[string]time.Duration{"m0": -time.Hour, "m1": -time.Hour}, promoted: "m0",
+			written: map[string]int64{"m0": 1, "m1": 2}, down: make(map[string]bool), terms: make(map[string]uint64),
 		}
 		for range rapid.IntRange(1, 6).Draw(t, "instances") {
 			offset := time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second
@@ -139,11 +147,17 @@
 			}
 		}
 	}
-	for range unreached {
-		r.leave(w.leaderNow())
+	for _, s := range unreached {
+		r.leave(w.leaderNow(), s.goneSince, s.knows)
+	}
+	if rapid.Bool().Draw(w.t, "steps down") {
+		w.down[w.record.Primary] = true
+		w.steps()
 	}
 	w.promoted = w.successor(r)
+	delete(w.down, w.promoted)
 	w.record.Primary, w.record.Term, w.record.Change = w.promoted, w.record.Term+1, nil
+	w.terms[w.promoted] = w.record.Term
 	w.check()
 	if rapid.Bool().Draw(w.t, "published") {
 		w.instances[0].grant.Settle(w.record, w.revision)
@@ -158,11 +172,13 @@
 		var answers []found
 		for _, m := range rapid.Permutation(w.members).Draw(w.t, "members") {
 			if m != w.record.Primary {
-				answers = append(answers, found{member: topology.Member{ID: m, Since: w.since[m]}, status: member.Status{Term: w.record.Term}})
+				answers = append(answers, found{member: topology.Member{ID: m, Since: w.since[m], Revision: w.written[m]}, status: member.Status{Term: w.record.Term}})
 			}
 		}
+		seen, unreached := r.unreached()
+		unreached = unreached && !w.down[w.record.Primary]
 		best, ok := Select(answers, Selection{
-			Old: w.record.Primary, Term: w.record.Term, Hurry: true, Unreached: r.unreached(), KnownBefore: w.leaderNow() - verifiableLapsed,
+			Old: w.record.Primary, Term: w.record.Term, Hurry: true, Unreached: unreached, KnownBefore: w.leaderNow() - verifiableLapsed, Seen: seen,
 		})
 		if ok {
 			return best.member.ID
@@ -201,6 +217,7 @@
 			id := fmt.Sprintf("m%d", len(w.members))
 			w.members = append(w.members, id)
 			w.since[id] = w.leaderNow()
+			w.written[id] = int64(len(w.members))
 		case "hours":
 			if rapid.IntRange(0, 4).Draw(w.t, "they pass") == 0 {
 				w.truth += 3 * time.Hour
@@ -224,13 +241,16 @@
 	if !s.waiting {
 		s.asked, s.waiting = s.now(w.truth), true
 		s.record, s.seen = w.record, w.revision // answered at once, delivered later
-		s.told = slices.Clone(w.members)
+		s.told, s.toldAt = slices.Clone(w.members), int64(len(w.members))
 		return
 	}
 	if rapid.Bool().Draw(w.t, "delivered") {
 		s.grant.Learn(s.record, s.seen)
 		s.members = s.told
 		s.grant.Confirm(s.asked)
+		if rapid.Bool().Draw(w.t, "registers") {
+			s.knows = s.toldAt
+		}
 	}
 	s.waiting = false
 }
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -58,6 +58,10 @@
 	// Settled says that the instance has been registered for long enough to hold shares of
 	// the client accounts' limits, also after a restart.
 	Settled bool `json:"settled,omitempty"`
+
+	// Seen is a revision of the store whose contents the process had in force when it
+	// wrote this: it knows of all that has been there unchanged since. 0: not told.
+	Seen int64 `json:"seen,omitempty"`
 }
 
 // Change is a change of primary that is under way.
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -20,10 +20,13 @@
 	done  bool          // no instance uses the old primary any more without asking the others
 	stays bool          // or it is well after all, and stays the primary
 	last  member.Status // what the old primary said when it stepped down
+	down  bool          // it said that it has
 
 	// unreached says that some instances may still use it, each as long as every
-	// other member that it knows of tells it that it does not lead.
+	// other member that it knows of tells it that it does not lead. All of them know
+	// of what the store held at the revision seen.
 	unreached bool
+	seen      int64
 }
 
 // clearGrants returns once no instance uses the old primary any more, or once
@@ -47,7 +50,9 @@
 	for {
 		select {
 		case err := <-released:
-			return clearing{done: err == nil, last: c.finalStatus(ctx, change, record), unreached: r.unreached()}
+			cleared := clearing{done: err == nil}
+			cleared.seen, cleared.unreached = r.unreached()
+			return cleared
 		case <-time.After(patience):
 		case <-ctx.Done():
 			return clearing{}
@@ -63,14 +68,14 @@
 }
 
 // finalStatus returns what a primary that is replaced as planned says when it
-// steps down, so that its successor can be awaited to have received all of it.
-func (c *Controller) finalStatus(ctx context.Context, change Change, record Record) member.Status {
+// steps down, so that its successor can be awaited to have received all of it, and
+// whether it did.
+func (c *Controller) finalStatus(ctx context.Context, record Record) (member.Status, bool) {
 	old, known := c.around.Topology().Members[record.Primary]
-	if !change.Planned || !known {
-		return member.Status{}
+	if !known {
+		return member.Status{}, false
 	}
-	status, _ := c.stepDown(ctx, old, record.Term)
-	return status
+	return c.stepDown(ctx, old, record.Term)
 }
 
 // leads reports whether a member answers as the primary of a term.
@@ -185,6 +190,7 @@
 	attested map[string]time.Duration // when one that released last attested an instance, by name
 	oldest   time.Duration            // since when all that released know whom they attested
 	left     bool                     // an instance did not release before its grant had lapsed
+	seen     int64                    // revision of the store that all of those had in force; with left
 }
 
 // note counts an instance that has released and says whom it attested.
@@ -222,21 +228,32 @@
 	return now-confirmed >= grantsLapsed
 }
 
-// leave notes an instance that did not release before its grant had lapsed. It may
-// use the old primary still, and asks the members that it knows of.
-func (r *release) leave(now time.Duration) {
+// leave notes an instance that did not release before its grant had lapsed, with since
+// when its lease has been gone, zero when it holds. It may use the old primary still, and
+// asks the members that it knows of: those at least that were in the store at the
+// revision that it had seen.
+func (r *release) leave(now, goneSince time.Duration, seen int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	// Beyond that it has not heard of the store for so long that the grant is over.
-	r.left = r.left || now-r.announced < verifiableLapsed
+	heard := r.announced // it has not heard of the store later
+	if goneSince > 0 {
+		heard = min(heard, goneSince)
+	}
+	if now-heard >= verifiableLapsed {
+		return // the grant is over
+	}
+	if !r.left || seen < r.seen {
+		r.seen = seen
+	}
+	r.left = true
 }
 
-// unreached reports whether an instance that was not reached may still use the old
-// primary.
-func (r *release) unreached() bool {
+// unreached reports whether instances that were not reached may still use the old
+// primary, and a revision of the store that all of them have seen.
+func (r *release) unreached() (int64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.left
+	return r.seen, r.left
 }
 
 // expect raises the quorum by instances that were found to be registered too.
@@ -260,8 +277,8 @@
 			goneSince = 0 // its lease holds, as far as is known
 		}
 		if r.lapsed(c.now(), instance.Name, goneSince) {
-			r.leave(c.now())
-			log.Info("lead: an instance did not release its grant, which has lapsed; members that it does not know of are not promoted")
+			r.leave(c.now(), goneSince, instance.Seen)
+			log.WithField("seen", instance.Seen).Info("lead: an instance did not release its grant, which has lapsed; members that it does not know of are not promoted")
 			return
 		}
 		reply, err := c.callRelease(ctx, r, instance.Instance)
--- a/internal/lead/relieve.go
+++ b/internal/lead/relieve.go
@@ -31,9 +31,9 @@
 		return
 	}
 	log := c.log.WithField("group", group)
-	if s := c.survey(ctx); s.holders > 0 || s.answered < s.needed {
+	if s := c.survey(ctx); s.holders() > 0 || s.answered < s.needed {
 		g.plannedAt = c.now()
-		log.WithFields(logrus.Fields{"answered": s.answered, "needed": s.needed, "holders": s.holders}).
+		log.WithFields(logrus.Fields{"answered": s.answered, "needed": s.needed, "holders": s.holders()}).
 			Info("lead: the primary serves its group alone and is full, but a change would wait for an instance that cannot be reached")
 		return
 	}
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
 // Selection is what decides who should lead.
@@ -14,11 +15,18 @@
 	Last         group.Position // end of its log, when it stepped down; zero: not known
 	Replicas     int            // of the group
 	SyncReplicas int            // that had received each acknowledged commit
-	Unreached    bool           // some instances may still use the old primary; then only
-	KnownBefore  time.Duration  // a member may be promoted that has been known from before this time
+	Unreached    bool           // some instances may still use the old primary; then only a member may be
+	KnownBefore  time.Duration  // promoted that has been known from before this time, or that
+	Seen         int64          // has been in the store unchanged since this revision
 	Hurry        bool           // do not wait for a log to reach Last any longer
 }
 
+// known reports whether each instance that was not reached knows of a member, and
+// therefore asks it whether it leads.
+func (s Selection) known(m topology.Member) bool {
+	return m.Since < s.KnownBefore || m.Revision > 0 && m.Revision <= s.Seen
+}
+
 // Select returns who should lead, given what the members said, or false while
 // that cannot be decided. One that leads in a newer term goes first: it was
 // promoted already. An old primary that leads still, and need not be replaced,
@@ -43,7 +51,7 @@
 			continue
 		}
 		replicas++
-		if best != nil && best.status.Primary || f.member.Draining || s.Unreached && f.member.Since >= s.KnownBefore {
+		if best != nil && best.status.Primary || f.member.Draining || s.Unreached && !s.known(f.member) {
 			continue
 		}
 		if best == nil || best.status.Received.Less(f.status.Received) {
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -200,7 +200,7 @@
 	if answer.Err != nil || pass == nil {
 		return answer, served
 	}
-	if !a.s.relay.stands(a.group, pass) {
+	if !a.s.relay.stands(a.group, pass, a.reads) {
 		a.why = "the primary may have been replaced before the answer could be passed on"
 		if a.reads {
 			return statement.Answer{}, notRun
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -180,7 +180,7 @@
 	if answer.State != statement.Idle {
 		return s.settleRead(st, answer)
 	}
-	valid := st.Kind != statement.Commit || !tx.wrote || s.relay.stands(tx.group, tx.pass)
+	valid := st.Kind != statement.Commit || !tx.wrote || s.relay.stands(tx.group, tx.pass, false)
 	s.endTx()
 	if st.Kind != statement.Commit || answer.Err != nil {
 		return answer
@@ -198,7 +198,7 @@
 // from a primary whose grant is not confirmed is verified first.
 func (s *session) settleRead(st statement.Statement, answer statement.Answer) statement.Answer {
 	tx := s.tx
-	if tx.pass == nil || answer.Err != nil || !s.reads(st) || s.relay.stands(tx.group, tx.pass) {
+	if tx.pass == nil || answer.Err != nil || !s.reads(st) || s.relay.stands(tx.group, tx.pass, true) {
 		return answer
 	}
 	s.endTx()
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,8 +32,10 @@
 // round is a round of questions to the members of a group, shared by all who wait
 // for one that begins after they asked.
 type round struct {
-	done chan struct{} // closed at the end
-	ok   bool          // valid once done is closed
+	done  chan struct{} // closed at the end
+	reads bool          // an answer to a read waits for it; guarded by the group's mu until it begins
+	ok    bool          // no other member leads; valid once done is closed
+	leads bool          // the primary says that it leads; valid once done is closed, where reads was set
 }
 
 // verifier verifies that no other member leads a group. The group's mu guards it.
@@ -48,35 +51,38 @@
 // errGone says that nothing is known of a member.
 var errGone = errors.New("the member's entry is gone")
 
-// stands reports whether an answer of the primary may be passed on. Where the grant
-// is not confirmed the members are asked.
-func (r *Relay) stands(g *groupState, pass *lead.Pass) bool {
+// stands reports whether an answer of the primary, to a read or to what writes, may be
+// passed on. Where the grant is not confirmed the members are asked.
+func (r *Relay) stands(g *groupState, pass *lead.Pass, reads bool) bool {
 	switch pass.Standing() {
 	case lead.Confirmed:
 		return true
 	case lead.Unconfirmed:
-		return r.verify(g, pass.Authority)
+		return r.verify(g, pass.Authority, reads)
 	}
 	return false
 }
 
 // verify reports whether no other member led the group in a newer term at some
 // moment after the call. It asks every member that this instance knows of but the
-// primary; one that does not answer might lead.
-func (r *Relay) verify(g *groupState, a lead.Authority) bool {
+// primary; one that does not answer might lead. For a read it asks the primary as well: one
+// that has stepped down refuses to write, and would go on reading while a member leads of
+// which this instance does not know.
+func (r *Relay) verify(g *groupState, a lead.Authority, reads bool) bool {
 	g.mu.Lock()
 	wanted := g.verifier.next
 	if wanted == nil {
 		wanted = &round{done: make(chan struct{})}
 		g.verifier.next = wanted
 	}
+	wanted.reads = wanted.reads || reads
 	if !g.verifier.running {
 		g.verifier.running = true
 		go r.runRounds(g, a)
 	}
 	g.mu.Unlock()
 	<-wanted.done
-	return wanted.ok
+	return wanted.ok && (wanted.leads || !reads)
 }
 
 // runRounds runs rounds, one after another, while somebody waits for one.
@@ -91,7 +97,7 @@
 			return
 		}
 		g.mu.Unlock()
-		current.ok = r.noneLeads(a, g.name)
+		r.ask(current, a, g.name)
 		g.mu.Lock()
 		if current.ok {
 			g.verifier.okAt = r.now()
@@ -109,27 +115,44 @@
 	return g.verifier.okAt > 0 && now-g.verifier.okAt < verifiedFor
 }
 
-// noneLeads asks all members but the primary at once.
-func (r *Relay) noneLeads(a lead.Authority, group string) bool {
+// ask asks the members at once, the primary only where a read waits.
+func (r *Relay) ask(current *round, a lead.Authority, group string) {
 	snap := r.snapshot()
 	if len(snap.Departed[group]) > 0 {
-		return false // one of them may have come back and been promoted, and cannot be asked
+		return // one of them may have come back and been promoted, and cannot be asked
 	}
-	var others []topology.Member
+	var asked sync.WaitGroup
+	follow := make(map[string]*bool) // by member; each is written by the goroutine that asks it
 	for _, m := range snap.ByGroup[group] {
-		if m.ID != a.Primary {
-			others = append(others, m)
+		if m.ID == a.Primary {
+			continue
 		}
+		reply := new(bool)
+		follow[m.ID] = reply
+		asked.Go(func() { *reply = r.follows(m, a) })
 	}
-	replies := make(chan bool, len(others))
-	for _, m := range others {
-		go func() { replies <- r.follows(m, a) }()
+	if current.reads {
+		asked.Go(func() { current.leads = r.leads(a) })
 	}
-	ok := true
-	for range others {
-		ok = <-replies && ok
+	asked.Wait()
+	current.ok = true
+	for _, follows := range follow {
+		current.ok = current.ok && *follows
 	}
-	return ok
+}
+
+// leads reports whether the primary of an authority says that it leads.
+func (r *Relay) leads(a lead.Authority) bool {
+	status, err := r.upstreams.status(a.Primary, verifyTimeout)
+	if err == nil && status.Primary && status.Term == a.Term {
+		return true
+	}
+	if leftOut, ok := r.sampler.Allow("verify" + a.Primary); ok {
+		r.log.WithError(err).WithFields(logrus.Fields{
+			"primary": a.Primary, "term": a.Term, "record": a.Revision, "leads": status.Primary, "its_term": status.Term, "left_out": leftOut,
+		}).Info("relay: the grant is not confirmed, and the primary does not say that it leads; what was read there is not passed on")
+	}
+	return false
 }
 
 // follows reports whether a member says that it does not lead, in the term of an
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/stackspindle/stackspindle/internal/account"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/pool"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
@@ -35,6 +36,30 @@
 	must.Len(t, 2, b.group.Log())
 }
 
+// A primary that has stepped down would go on reading while a member leads that this
+// instance has not heard of. What is read there is not passed on.
+func TestUnconfirmedReadNeedsAPrimaryThatLeads(t *testing.T) {
+	b := newUnconfirmedBench(t)
+	s := newSession(b.relay, Start{Database: "hurried"})
+	must.Nil(t, b.run(s, statement.Read, "READ 1").Err)
+	must.Nil(t, b.run(s, statement.Begin, "BEGIN").Err)
+	b.stepDown(t, "m1", 2)
+	must.Eq(t, statement.Aborted, b.run(s, statement.Read, "READ 1").Err.Code)
+	must.Eq(t, statement.Busy, b.run(s, statement.Read, "READ 1").Err.Code)
+	must.Eq(t, statement.Busy, b.run(s, statement.Write, "WRITE 1 x").Err.Code, must.Sprint("the member itself refuses"))
+	must.SliceEmpty(t, b.group.Log())
+}
+
+// stepDown has a member step down as a leader asks it to.
+func (b *bench) stepDown(t *testing.T, id string, term uint64) {
+	conn, err := b.group.Dial(t.Context(), b.group.Entry(id), account.Anonymous)
+	must.NoError(t, err)
+	defer conn.Close()
+	status, err := conn.StepDown(time.Now().Add(generous), term)
+	must.NoError(t, err)
+	must.False(t, status.Primary)
+}
+
 // A member that does not answer might lead: nothing is sent that could not be
 // acknowledged then.
 func TestUnconfirmedGrantNeedsEveryMember(t *testing.T) {
@@ -88,11 +113,11 @@
 	g := b.relay.upstreams.group("g")
 	a, err := b.gate.Authority()
 	must.NoError(t, err)
-	must.True(t, b.relay.verify(g, a))
+	must.True(t, b.relay.verify(g, a, true))
 	must.True(t, g.verifiedLately(b.relay.now()))
 	must.False(t, g.verifiedLately(b.relay.now()+time.Minute))
 	must.NoError(t, b.group.Promote(t.Context(), "g", "m2", "other", 2))
-	must.False(t, b.relay.verify(g, a))
+	must.False(t, b.relay.verify(g, a, false))
 }
 
 // A primary serves its group alone when no replica has served a read for a while, and
