--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -176,6 +176,13 @@
 	return p.queue.Waiting()
 }
 
+// Backlog returns what a new request of a priority would find.
+func (p *Pool[C]) Backlog(priority int) pool.Backlog {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Backlog(priority)
+}
+
 // Load returns how many requests hold a connection or wait for one.
 func (p *Pool[C]) Load() int {
 	p.mu.Lock()
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -30,12 +30,17 @@
 	ID       uint64
 	Service  string
 	Account  string        // whose connection is wanted, where connections belong to accounts
-	Any      bool          // a connection of any account will do, as for what is nobody's work
-	Level    int           // of importance; a pause holds requests of its level and above
-	Weight   int           // share of the service under contention, at least 1
-	Limit    int           // connections the service may use at once, 0: no bound
-	Write    bool          // may use the reserve
-	Deadline time.Duration // after which the request must not be granted
+	Priority int           // 0 ranks highest
+	Work     time.Duration // expected time at the member, 0: not known
+	// Objective is until when an answer is in time, 0: none.
+	Objective time.Duration
+	Elsewhere bool          // another member could run it, now or a moment later
+	Any       bool          // a connection of any account will do, as for what is nobody's work
+	Level     int           // of importance; a pause holds requests of its level and above
+	Weight    int           // share of the service under contention, at least 1
+	Limit     int           // connections the service may use at once, 0: no bound
+	Write     bool          // may use the reserve
+	Deadline  time.Duration // after which the request must not be granted
 }
 
 // Outcome is what happens to a request.
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -64,12 +64,16 @@
 	}
 	a.lastMember, a.lastAfter = up.id, t.after
 	lease, err := up.pool.Acquire(ctx, pool.Request{
-		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
-		Account:  a.account,
-		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
-		Level:    a.route.Priority,
-		Write:    !a.reads,
-		Deadline: max(waitUntil, a.now()),
+		Service:   priorityNames[min(a.route.Priority, lowestPriority)],
+		Account:   a.account,
+		Weight:    weightOfFirst >> min(a.route.Priority, lowestPriority),
+		Level:     a.route.Priority,
+		Priority:  a.route.Priority,
+		Work:      a.group.usual(kindOf(a.route)),
+		Objective: a.arrived + a.route.LatencyObjective,
+		Elsewhere: !a.needsPrimary(),
+		Write:     !a.reads,
+		Deadline:  max(waitUntil, a.now()),
 	}, func(c *member.Shared) int { return c.Match(a.s.values) })
 	if err != nil {
 		a.noteNoRoom(up, err)
