--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -106,8 +106,11 @@
 	pool    *Pool[C]
 	request pool.Request
 	since   time.Duration
-	parked  bool // guarded by the pool's mu, as is ended
-	ended   bool
+
+	// Guarded by the pool's mu.
+	parked bool
+	used   time.Duration // for which it ran something, once it is parked
+	ended  bool
 }
 
 // Park notes that the connection is held and runs nothing for a while, or waits
@@ -117,20 +120,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !l.parked && !l.ended {
-		l.parked = true
-		p.queue.Park()
-		p.pass(p.now())
+		now := p.now()
+		l.parked, l.used = true, now-l.since
+		p.queue.Park(l.request)
+		p.pass(now)
 	}
 }
 
 // end returns the grant. The caller holds the pool's mu.
 func (l *Lease[C]) end() {
 	l.ended = true
+	used := l.pool.now() - l.since
 	if l.parked {
-		l.parked = false
-		l.pool.queue.Unpark()
+		used = l.used
+		l.pool.queue.Unpark(l.request)
 	}
-	l.pool.finish(l.request, l.since)
+	l.pool.finish(l.request, used)
 }
 
 // SetCapacity changes how many connections may be used at once.
@@ -150,11 +155,11 @@
 	p.pass(p.now())
 }
 
-// Pause holds requests of a level of importance and above for a while.
-func (p *Pool[C]) Pause(level int, d time.Duration) {
+// Pause holds requests of a priority and of lower ones for a while.
+func (p *Pool[C]) Pause(priority int, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue.Pause(level, p.now()+d)
+	p.queue.Pause(priority, p.now()+d)
 	time.AfterFunc(d, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -220,6 +225,7 @@
 	if outcome == pool.Queued {
 		granted = make(chan struct{})
 		p.waiters[r.ID] = granted
+		p.pass(p.now()) // what is reserved for others may have become less since the last grant
 	}
 	p.mu.Unlock()
 	switch outcome {
@@ -255,18 +261,17 @@
 	if !p.queue.Cancel(r) {
 		select {
 		case <-granted:
-			p.finish(r, p.now()) // granted at the same moment: give it back
+			p.finish(r, 0) // granted at the same moment: give it back
 		default:
 		}
 	}
 	return cause
 }
 
-// finish returns a grant and passes it on. The caller holds mu.
-func (p *Pool[C]) finish(r pool.Request, since time.Duration) {
-	now := p.now()
-	p.queue.Done(r, now-since)
-	p.pass(now)
+// finish returns a grant that was in use for a time, and passes it on. The caller holds mu.
+func (p *Pool[C]) finish(r pool.Request, used time.Duration) {
+	p.queue.Done(r, used)
+	p.pass(p.now())
 }
 
 // pass wakes those that the queue grants a connection. The caller holds mu.
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -8,7 +8,7 @@
 	Work   time.Duration // that these are expected to take
 	Active int           // requests that hold a connection and are not parked
 	Slots  int           // how many may be active at once
-	Held   time.Duration // usual time for which a connection is held, 0: not known
+	Held   time.Duration // usual time for which a connection is in use, 0: not known
 }
 
 // Backlog returns what a new request of a priority would find. Those whose work is
@@ -18,19 +18,32 @@
 	if q.cfg.MaxActive > 0 {
 		b.Slots = min(b.Slots, q.cfg.MaxActive)
 	}
-	for _, s := range q.services {
-		for e := s.waiting.Front(); e != nil; e = e.Next() {
-			r := e.Value.(Request)
-			if r.Priority > priority {
-				continue
-			}
-			b.Ahead++
-			if r.Work > 0 {
-				b.Work += r.Work
-			} else {
-				b.Work += q.average
-			}
+	for _, c := range q.classes {
+		if c.priority > priority {
+			break
 		}
+		b.Ahead += c.waiting[timely]
+		b.Work += c.work[timely]
+		b.Work += time.Duration(c.unknown[timely]) * q.average
 	}
 	return b
 }
+
+// Waiting tells how many requests of a priority wait, and what the order did for them.
+type Waiting struct {
+	Priority int
+	Now      int
+	Overtook uint64 // granted before others that had come earlier
+	Overdue  uint64 // granted before higher priorities, since none had been for too long
+}
+
+// Waits returns what is known of each priority, the highest first.
+func (q *Queue) Waits() []Waiting {
+	waits := make([]Waiting, 0, len(q.classes))
+	for _, c := range q.classes {
+		waits = append(waits, Waiting{
+			Priority: c.priority, Now: c.waiting[timely] + c.waiting[late], Overtook: c.overtook, Overdue: c.overdueGrants,
+		})
+	}
+	return waits
+}
--- /dev/null
+++ b/internal/pool/fairness_test.go
@@ -0,0 +1,127 @@
+package pool
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fluid gives accounts work in infinitely small parts: each that has demand gets the same
+// as the others, which is their max-min fair share.
+type fluid struct{ demand, got []float64 }
+
+func (f *fluid) serve(work float64) {
+	for work > 1e-12 {
+		least, waiting := math.Inf(1), 0
+		for i := range f.demand {
+			if left := f.demand[i] - f.got[i]; left > 1e-12 {
+				least, waiting = min(least, left), waiting+1
+			}
+		}
+		if waiting == 0 {
+			return
+		}
+		part := min(least, work/float64(waiting))
+		for i := range f.demand {
+			if f.demand[i]-f.got[i] > 1e-12 {
+				f.got[i] += part
+			}
+		}
+		work -= part * float64(waiting)
+	}
+}
+
+// The load: accounts bring any statements at any time, so that some have much more than
+// their share. No account with demand ever got less than its max-min fair share of what was
+// granted, less one statement.
+func TestAccountsGetTheirFairShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const largest = 50
+		accounts := rapid.IntRange(2, 6).Draw(t, "accounts")
+		q := New(Config{Capacity: rapid.IntRange(1, 4).Draw(t, "capacity"), MaxQueue: 1000, Patient: true})
+		ideal := fluid{demand: make([]float64, accounts), got: make([]float64, accounts)}
+		granted := make([]float64, accounts)
+		var running []Request
+		grant := func(r Request) {
+			running = append(running, r)
+			granted[accountOf(r)] += r.Work.Seconds()
+			ideal.serve(r.Work.Seconds())
+		}
+		for id := range uint64(rapid.IntRange(20, 200).Draw(t, "steps")) {
+			if len(running) > 0 && rapid.IntRange(0, 2).Draw(t, "ends") == 0 {
+				q.Done(running[0], running[0].Work)
+				running = running[1:]
+			} else {
+				// The first account brings about half of everything.
+				account := max(0, rapid.IntRange(-accounts+1, accounts-1).Draw(t, "account"))
+				r := Request{
+					ID: id, Account: fmt.Sprint(account), Deadline: time.Hour,
+					Work: time.Duration(rapid.IntRange(1, largest).Draw(t, "work")) * time.Millisecond,
+				}
+				ideal.demand[account] += r.Work.Seconds()
+				if q.Offer(0, r) == Granted {
+					grant(r)
+				}
+			}
+			next, _ := q.Next(0)
+			for _, r := range next {
+				grant(r)
+			}
+			for i := range accounts {
+				if lacks := ideal.got[i] - granted[i]; lacks > (largest*time.Millisecond).Seconds()+1e-9 {
+					t.Fatalf("account %d has %.3f s of work granted, its share is %.3f s", i, granted[i], ideal.got[i])
+				}
+			}
+		}
+	})
+}
+
+func accountOf(r Request) (i int) {
+	fmt.Sscan(r.Account, &i)
+	return i
+}
+
+// BenchmarkGrant measures what a statement costs the queue while so many accounts wait.
+func BenchmarkGrant(b *testing.B) {
+	for _, accounts := range []int{0, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			q := New(Config{Capacity: 6, MaxQueue: 64, Patient: true})
+			names := make([]string, max(1, accounts))
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+			}
+			var running []Request
+			id := uint64(0)
+			now := time.Duration(0)
+			offer := func() {
+				id++
+				r := Request{
+					ID: id, Account: names[id%uint64(len(names))], Priority: int(id % 3), Work: time.Duration(id%7+1) * time.Millisecond,
+					Objective: now + 400*time.Millisecond, Deadline: now + time.Hour,
+				}
+				if q.Offer(now, r) == Granted {
+					running = append(running, r)
+				}
+			}
+			for range accounts + 1 {
+				offer()
+			}
+			for len(running) < min(6, accounts) {
+				offer()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now += 10 * time.Microsecond
+				r := running[0]
+				running = append(running[:0], running[1:]...)
+				q.Done(r, r.Work)
+				granted, _ := q.Next(now)
+				running = append(running, granted...)
+				offer()
+			}
+		})
+	}
+}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -1,12 +1,20 @@
-// Package pool decides who gets the next connection of a member. Services share
-// by weighted fair queueing, each within a bound of its own; some connections
-// are kept for writes; and a request that cannot be served before its deadline
-// is refused on arrival, so that goodput stays level under overload. The
-// package has no I/O, clock or goroutine.
+// Package pool decides who gets the next connection of a member.
+//
+// Higher priorities come first, and what can still be answered in time before what
+// cannot. Within a priority services and accounts share by start-time fair queueing,
+// by the work that their requests are expected to take; what one of them brings is
+// ordered by the time at which it must start. A priority that has asked for as long as
+// its callers want to wait for an answer, and was granted nothing, gets one grant.
+//
+// Some connections are kept for writes, and as many as are wanted for work that only
+// this member can run. A queue that is not patient refuses a request on arrival that
+// would not be served before its deadline. The package has no I/O, clock or goroutine.
 package pool
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
 	"time"
 )
 
@@ -36,13 +44,15 @@
 	Objective time.Duration
 	Elsewhere bool          // another member could run it, now or a moment later
 	Any       bool          // a connection of any account will do, as for what is nobody's work
-	Level     int           // of importance; a pause holds requests of its level and above
 	Weight    int           // share of the service under contention, at least 1
 	Limit     int           // connections the service may use at once, 0: no bound
 	Write     bool          // may use the reserve
 	Deadline  time.Duration // after which the request must not be granted
 }
 
+// fixed reports whether only this member can run the work of a request.
+func (r *Request) fixed() bool { return !r.Elsewhere && !r.Any }
+
 // Outcome is what happens to a request.
 type Outcome int
 
@@ -54,31 +64,39 @@
 	TooLate   // refused: it would not be served before its deadline
 )
 
-// service is the state of one service. It exists while it holds or waits.
-type service struct {
-	waiting *list.List // of Request
-	inUse   int
-	virtual float64 // virtual time at which its next request is due
-}
-
 // Queue is the state of one member's connections. It is not safe for
 // concurrent use.
 type Queue struct {
 	cfg      Config
-	services map[string]*service
-	inUse    int
-	parked   int // of these, connections whose holder has nothing running
-	reads    int
-	waiting  int
-	pauses   map[int]time.Duration // until when requests of a level are held
-	now      time.Duration         // at the last call that told
-	clock    float64               // virtual time of the last grant
-	average  time.Duration         // moving average of how long a connection is held
+	classes  []*class // by priority, the highest first; a priority that was seen stays
+	entries  map[uint64]*entry
+	arrivals list.List       // of *entry, the oldest first
+	ends     indexed[*entry] // by deadline
+	order    uint64          // of arrivals
+
+	inUse  int
+	parked int // of these, connections whose holder has nothing running
+	reads  int
+	fixed  use // by what only this member can run
+	demand demand
+
+	pauses  map[int]time.Duration // until when requests of a priority and below are held
+	now     time.Duration         // at the last call that told
+	average time.Duration         // moving average of how long a connection is in use
 }
 
+// use counts connections.
+type use struct{ inUse, parked, waiting int }
+
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, services: make(map[string]*service), pauses: make(map[int]time.Duration)}
+	return &Queue{
+		cfg: cfg, entries: make(map[uint64]*entry), pauses: make(map[int]time.Duration),
+		ends: indexed[*entry]{
+			less:  func(a, b *entry) bool { return a.Deadline < b.Deadline },
+			place: func(e *entry) *int { return &e.inEnds },
+		},
+	}
 }
 
 // SetCapacity changes the number of connections. Those in use stay in use.
@@ -87,28 +105,38 @@
 // SetMaxActive changes the bound of the connections in use but for parked ones.
 func (q *Queue) SetMaxActive(n int) { q.cfg.MaxActive = n }
 
-// Pause holds requests of a level of importance and above until a time. Those that
+// Pause holds requests of a priority and of lower ones until a time. Those that
 // wait are granted by the first call of Next after it.
-func (q *Queue) Pause(level int, until time.Duration) {
-	q.pauses[level] = max(q.pauses[level], until)
+func (q *Queue) Pause(priority int, until time.Duration) {
+	q.pauses[priority] = max(q.pauses[priority], until)
 }
 
-// held reports whether a pause holds requests of a level.
-func (q *Queue) held(level int) bool {
-	for l, until := range q.pauses {
-		if l <= level && q.now < until {
+// held reports whether a pause holds requests of a priority.
+func (q *Queue) held(priority int) bool {
+	for p, until := range q.pauses {
+		if p <= priority && q.now < until {
 			return true
 		}
 	}
 	return false
 }
 
-// Park notes that a granted connection runs nothing for a while, as one that is
-// held by a transaction. It counts on within the capacity.
-func (q *Queue) Park() { q.parked++ }
+// Park notes that the connection granted for a request runs nothing for a while, as one
+// that is held by a transaction. It counts on within the capacity.
+func (q *Queue) Park(r Request) {
+	q.parked++
+	if r.fixed() {
+		q.fixed.parked++
+	}
+}
 
 // Unpark ends what Park began.
-func (q *Queue) Unpark() { q.parked-- }
+func (q *Queue) Unpark(r Request) {
+	q.parked--
+	if r.fixed() {
+		q.fixed.parked--
+	}
+}
 
 // Capacity returns how many connections may be used at once.
 func (q *Queue) Capacity() int { return q.cfg.Capacity }
@@ -117,56 +145,86 @@
 func (q *Queue) InUse() int { return q.inUse }
 
 // Waiting returns how many requests wait.
-func (q *Queue) Waiting() int { return q.waiting }
+func (q *Queue) Waiting() int { return len(q.entries) }
 
 // RetryAfter estimates when a refused request would find room.
 func (q *Queue) RetryAfter() time.Duration {
-	return max(q.expectedWait(q.waiting), 10*time.Millisecond)
-}
-
-func (q *Queue) service(name string) *service {
-	s := q.services[name]
-	if s == nil {
-		s = &service{waiting: list.New(), virtual: q.clock}
-		q.services[name] = s
-	}
-	return s
+	return max(q.expectedWait(len(q.entries)), 10*time.Millisecond)
 }
 
-func (q *Queue) forget(name string, s *service) {
-	if s.inUse == 0 && s.waiting.Len() == 0 && s.virtual <= q.clock {
-		delete(q.services, name)
+// class returns the state of a priority.
+func (q *Queue) class(priority int) *class {
+	i, known := slices.BinarySearchFunc(q.classes, priority, func(c *class, p int) int { return cmp.Compare(c.priority, p) })
+	if !known {
+		q.classes = slices.Insert(q.classes, i, newClass(priority))
 	}
+	return q.classes[i]
 }
 
 // Offer takes in a request. A queued one is granted or expired by Next.
 func (q *Queue) Offer(now time.Duration, r Request) Outcome {
 	q.now = now
-	s := q.service(r.Service)
-	defer q.forget(r.Service, s)
-	if s.waiting.Len() == 0 && q.admissible(s, r) {
-		q.grant(s, r)
+	c := q.class(r.Priority)
+	f := c.flow(flowKey{r.Service, r.Account})
+	defer c.forget(f)
+	f.limit = r.Limit
+	c.noteAsked(now, &r)
+	if r.fixed() {
+		q.demand.note(now, q.fixed.inUse-q.fixed.parked+q.fixed.waiting+1)
+	}
+	if q.admissible(f, &r) {
+		q.grant(f, &r)
 		return Granted
 	}
-	if s.waiting.Len() >= q.cfg.MaxQueue {
+	if f.waiting >= q.cfg.MaxQueue {
 		return QueueFull
 	}
-	if r.Deadline <= now || !q.cfg.Patient && now+q.expectedWait(q.aheadOf(s, r)) > r.Deadline {
+	if r.Deadline <= now || !q.cfg.Patient && now+q.expectedWait(q.aheadOf(f, &r)) > r.Deadline {
 		return TooLate
 	}
-	s.waiting.PushBack(r)
-	q.waiting++
+	q.enqueue(f, r)
 	return Queued
 }
 
-// aheadOf estimates how many grants come before a new request of s: its own
-// queue, and as many of every other service as its share allows meanwhile.
-func (q *Queue) aheadOf(s *service, r Request) int {
-	own := s.waiting.Len() + 1
+func (q *Queue) enqueue(f *flow, r Request) {
+	q.order++
+	e := &entry{Request: r, order: q.order, start: latestStart(&r), inLine: absent, inEnds: absent}
+	e.arrival = q.arrivals.PushBack(e)
+	q.entries[r.ID] = e
+	q.ends.push(e)
+	if r.fixed() {
+		q.fixed.waiting++
+	}
+	f.add(e, timely)
+}
+
+// giveUp takes a request out that is not granted.
+func (q *Queue) giveUp(e *entry) {
+	q.remove(e)
+	e.line.flow.class.forget(e.line.flow)
+}
+
+// remove takes a request out that waits.
+func (q *Queue) remove(e *entry) {
+	e.line.flow.drop(e)
+	q.ends.remove(e)
+	q.arrivals.Remove(e.arrival)
+	delete(q.entries, e.ID)
+	if e.fixed() {
+		q.fixed.waiting--
+	}
+}
+
+// aheadOf estimates how many grants come before a new request of a flow: its own
+// queue, and as many of every other one as its share allows meanwhile.
+func (q *Queue) aheadOf(f *flow, r *Request) int {
+	own := f.waiting + 1
 	ahead := own
-	for _, other := range q.services {
-		if other != s {
-			ahead += min(other.waiting.Len(), own)
+	for _, c := range q.classes {
+		for _, other := range c.flows {
+			if other != f && c.priority <= r.Priority {
+				ahead += min(other.waiting, own)
+			}
 		}
 	}
 	if r.Limit > 0 && r.Limit < q.cfg.Capacity {
@@ -179,109 +237,152 @@
 	return q.average * time.Duration(ahead) / time.Duration(max(q.cfg.Capacity, 1))
 }
 
-// admissible reports whether the limits leave room for a request.
-func (q *Queue) admissible(s *service, r Request) bool {
-	if q.inUse >= q.cfg.Capacity || q.cfg.MaxActive > 0 && q.inUse-q.parked >= q.cfg.MaxActive {
+// admissible reports whether a new request need not wait.
+func (q *Queue) admissible(f *flow, r *Request) bool {
+	if r.Limit > 0 && f.inUse >= r.Limit || q.held(r.Priority) {
 		return false
 	}
-	if r.Limit > 0 && s.inUse >= r.Limit || q.held(r.Level) {
-		return false
+	l := laneOf(r)
+	return q.room()[l] && !q.waitsAhead(l, r.Priority)
+}
+
+// waitsAhead reports whether something waits for room of a lane that comes before a new
+// request of a priority, and is held by nothing else.
+func (q *Queue) waitsAhead(l lane, priority int) bool {
+	for _, c := range q.classes {
+		if c.priority <= priority && !q.held(c.priority) && c.lines[timely][l].len()+c.lines[late][l].len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// room tells which lanes have room.
+func (q *Queue) room() (room [lanes]bool) {
+	active := q.inUse - q.parked
+	if q.inUse >= q.cfg.Capacity || q.cfg.MaxActive > 0 && active >= q.cfg.MaxActive {
+		return room
 	}
-	return r.Write || q.reads < q.cfg.Capacity-q.cfg.WriteReserve
+	room[write] = true
+	room[fixedRead] = q.reads < q.cfg.Capacity-q.cfg.WriteReserve
+	room[flexible] = room[fixedRead] && q.leavesReserve(q.cfg.Capacity, q.inUse, q.fixed.inUse) &&
+		(q.cfg.MaxActive == 0 || q.leavesReserve(q.cfg.MaxActive, active, q.fixed.inUse-q.fixed.parked))
+	return room
 }
 
-func (q *Queue) grant(s *service, r Request) {
+func (q *Queue) grant(f *flow, r *Request) {
 	q.inUse++
-	s.inUse++
+	f.inUse++
+	f.class.inUse++
+	f.class.asking = false
 	if !r.Write {
 		q.reads++
 	}
-	q.clock = max(q.clock, s.virtual)
-	s.virtual = max(s.virtual, q.clock) + 1/float64(max(r.Weight, 1))
+	if r.fixed() {
+		q.fixed.inUse++
+	}
+	f.charge(r)
+	f.refresh()
 }
 
-// Done returns a connection that was held for a time.
+// Done returns a connection that was in use for a time.
 func (q *Queue) Done(r Request, held time.Duration) {
-	s := q.service(r.Service)
+	c := q.class(r.Priority)
+	f := c.flow(flowKey{r.Service, r.Account})
 	q.inUse--
-	s.inUse--
+	f.inUse--
+	c.inUse--
 	if !r.Write {
 		q.reads--
 	}
+	if r.fixed() {
+		q.fixed.inUse--
+	}
 	if q.average == 0 {
 		q.average = held
 	}
 	q.average += (held - q.average) / averageSpan
-	q.forget(r.Service, s)
+	f.refresh()
+	c.forget(f)
 }
 
 // averageSpan is the number of grants over which the holding time is averaged.
 const averageSpan = 16
 
-// Next grants what there is room for, in fair order, and gives up on requests
+// Next grants what there is room for, in order, and gives up on requests
 // whose deadline has passed.
 func (q *Queue) Next(now time.Duration) (granted, expired []Request) {
 	q.now = now
 	expired = q.expire(now)
 	for {
-		name, s := q.dueService()
-		if s == nil {
+		e := q.due()
+		if e == nil {
 			return granted, expired
 		}
-		r := s.waiting.Remove(s.waiting.Front()).(Request)
-		q.waiting--
-		q.grant(s, r)
-		q.forget(name, s)
-		granted = append(granted, r)
+		f := e.line.flow
+		if e.arrival != q.arrivals.Front() {
+			f.class.overtook++
+		}
+		q.remove(e)
+		q.grant(f, &e.Request)
+		granted = append(granted, e.Request)
 	}
 }
 
 func (q *Queue) expire(now time.Duration) []Request {
 	var expired []Request
-	for name, s := range q.services {
-		for e := s.waiting.Front(); e != nil; {
-			next := e.Next()
-			if r := e.Value.(Request); r.Deadline <= now {
-				s.waiting.Remove(e)
-				q.waiting--
-				expired = append(expired, r)
+	for q.ends.len() > 0 && q.ends.first().Deadline <= now {
+		e := q.ends.first()
+		q.giveUp(e)
+		expired = append(expired, e.Request)
+	}
+	return expired
+}
+
+// due returns the request that is to be granted next, nil when none can be.
+func (q *Queue) due() *entry {
+	room := q.room()
+	if !room[write] || len(q.entries) == 0 {
+		return nil
+	}
+	if e := q.overdue(room); e != nil {
+		return e
+	}
+	for s := range stages {
+		for _, c := range q.classes {
+			if q.held(c.priority) {
+				continue
+			}
+			if e := c.first(s, room, q.now); e != nil {
+				return e
 			}
-			e = next
 		}
-		q.forget(name, s)
 	}
-	return expired
+	return nil
 }
 
-// dueService returns the service with the least virtual time whose first
-// request the limits admit.
-func (q *Queue) dueService() (string, *service) {
-	var name string
-	var due *service
-	for n, s := range q.services {
-		if s.waiting.Len() == 0 || !q.admissible(s, s.waiting.Front().Value.(Request)) {
+// overdue returns a request of a priority that has been granted nothing for too long.
+func (q *Queue) overdue(room [lanes]bool) *entry {
+	for _, c := range q.classes {
+		if !c.overdue(q.now) || q.held(c.priority) {
 			continue
 		}
-		if due == nil || s.virtual < due.virtual || s.virtual == due.virtual && n < name {
-			name, due = n, s
+		for s := range stages {
+			if e := c.first(s, room, q.now); e != nil {
+				c.overdueGrants++
+				return e
+			}
 		}
 	}
-	return name, due
+	return nil
 }
 
 // Cancel takes a waiting request out. It reports false when it does not wait.
 func (q *Queue) Cancel(r Request) bool {
-	s := q.services[r.Service]
-	if s == nil {
+	e := q.entries[r.ID]
+	if e == nil {
 		return false
 	}
-	defer q.forget(r.Service, s)
-	for e := s.waiting.Front(); e != nil; e = e.Next() {
-		if e.Value.(Request).ID == r.ID {
-			s.waiting.Remove(e)
-			q.waiting--
-			return true
-		}
-	}
-	return false
+	q.giveUp(e)
+	return true
 }
--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -184,14 +184,14 @@
 	offer := func(id uint64) Outcome { return q.Offer(0, Request{ID: id, Service: "s", Deadline: time.Second}) }
 	must.Eq(t, Granted, offer(1))
 	must.Eq(t, Queued, offer(2))
-	q.Park()
+	q.Park(Request{Service: "s"})
 	granted, _ := q.Next(0)
 	must.Len(t, 1, granted)
-	q.Park()
+	q.Park(Request{Service: "s"})
 	must.Eq(t, Granted, offer(3))
-	q.Park()
+	q.Park(Request{Service: "s"})
 	must.Eq(t, Queued, offer(4), must.Sprint("the capacity holds for parked ones as well"))
-	q.Unpark()
+	q.Unpark(Request{Service: "s"})
 	q.Done(Request{ID: 1, Service: "s"}, 0)
 	granted, _ = q.Next(0)
 	must.Len(t, 1, granted)
@@ -217,7 +217,7 @@
 func TestPauseHoldsItsLevel(t *testing.T) {
 	q := New(Config{Capacity: 4, MaxQueue: 4, Patient: true})
 	request := func(id uint64, level int) Request {
-		return Request{ID: id, Service: fmt.Sprint(level), Level: level, Deadline: time.Hour}
+		return Request{ID: id, Service: fmt.Sprint(level), Priority: level, Deadline: time.Hour}
 	}
 	must.Eq(t, Granted, q.Offer(0, request(1, 2)))
 	q.Pause(2, 10)
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -27,18 +27,6 @@
 	maxFailures = 2
 )
 
-// Settings of the queue for connections.
-const (
-	// weightOfFirst is the weight of the highest priority in the queue for
-	// connections; each lower one has half of it.
-	weightOfFirst  = 16
-	lowestPriority = 4 // what ranks lower counts the same
-)
-
-// priorityNames name the queues: routes of one priority share one, in the order
-// in which their statements came.
-var priorityNames = [lowestPriority + 1]string{"0", "1", "2", "3", "4"}
-
 // patience returns for how long a member is expected to work on the statement at most.
 func (a *attempt) patience() time.Duration {
 	if usual := a.group.usual(kindOf(a.route)); usual > 0 {
@@ -64,10 +52,7 @@
 	}
 	a.lastMember, a.lastAfter = up.id, t.after
 	lease, err := up.pool.Acquire(ctx, pool.Request{
-		Service:   priorityNames[min(a.route.Priority, lowestPriority)],
 		Account:   a.account,
-		Weight:    weightOfFirst >> min(a.route.Priority, lowestPriority),
-		Level:     a.route.Priority,
 		Priority:  a.route.Priority,
 		Work:      a.group.usual(kindOf(a.route)),
 		Objective: a.arrived + a.route.LatencyObjective,
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -42,8 +42,9 @@
 	okAt    time.Duration // when the last round that succeeded ended; 0: none did
 }
 
-// ownQuestions is the queue of questions that the instance itself asks members.
-const ownQuestions = "own"
+// ownPriority is that of questions which the instance itself asks members. They are few,
+// cost a member no work, and callers wait for what they tell.
+const ownPriority = -1
 
 // errGone says that nothing is known of a member.
 var errGone = errors.New("the member's entry is gone")
@@ -164,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	asked := u.now()
-	lease, err := up.pool.Acquire(ctx, pool.Request{Service: ownQuestions, Any: true, Weight: weightOfFirst, Deadline: asked + timeout}, nil)
+	lease, err := up.pool.Acquire(ctx, pool.Request{Any: true, Priority: ownPriority, Deadline: asked + timeout}, nil)
 	if err != nil {
 		return member.Status{}, err
 	}
