--- a/internal/pool/class.go
+++ b/internal/pool/class.go
@@ -40,6 +40,8 @@
 	Request
 	line    *line
 	order   uint64        // of arrival
+	cost    float64       // its work, divided by the weight of its flow
+	arrived float64       // virtual time of its arrival
 	start   time.Duration // when it must be granted at the latest to be in time
 	arrival *list.Element // its place in the order of arrival
 	inLine  int           // its place among the requests of its line
@@ -70,11 +72,18 @@
 	inClass  int // its place among the lines of its class
 }
 
-// before reports whether the first request of a comes before that of b: that of the
-// flow which has had less work, and of equals the one that must start first.
+// finish returns the virtual time at which the first request of a line would be served
+// if its flow got no more than its share.
+func (l *line) finish() float64 {
+	e := l.requests.first()
+	return max(l.flow.virtual, e.arrived) + e.cost
+}
+
+// before reports whether the first request of a comes before that of b: the one that
+// ends first in fair shares, and of equals the one that must start first.
 func before(a, b *line) bool {
-	if a.flow.virtual != b.flow.virtual {
-		return a.flow.virtual < b.flow.virtual
+	if fa, fb := a.finish(), b.finish(); fa != fb {
+		return fa < fb
 	}
 	return earlier(a.requests.first(), b.requests.first())
 }
@@ -87,7 +96,10 @@
 	class   *class
 	key     flowKey
 	lines   [stages][lanes]*line // nil: never used
-	virtual float64              // start tag of its next request
+	weight  float64
+	virtual float64 // time at which all that it was granted would be served in fair shares
+	served  float64 // time at which all that it asked for is served in fair shares
+	inFluid int     // its place among the flows that have demand there
 	inUse   int
 	waiting int
 	limit   int // connections that it may use at once, 0: no bound
@@ -98,7 +110,7 @@
 	priority int
 	flows    map[flowKey]*flow
 	lines    [stages][lanes]indexed[*line] // those that have requests, of flows within their limits
-	clock    float64                       // virtual time: the start tag granted last
+	fluid    fluid
 	inUse    int
 	waiting  [stages]int
 	work     [stages]time.Duration // expected, of what waits and tells
@@ -113,7 +125,7 @@
 }
 
 func newClass(priority int) *class {
-	c := &class{priority: priority, flows: make(map[flowKey]*flow)}
+	c := &class{priority: priority, flows: make(map[flowKey]*flow), fluid: newFluid()}
 	for s := range c.lines {
 		for l := range c.lines[s] {
 			c.lines[s][l] = indexed[*line]{less: before, place: func(l *line) *int { return &l.inClass }}
@@ -125,20 +137,21 @@
 func (c *class) flow(key flowKey) *flow {
 	f := c.flows[key]
 	if f == nil {
-		f = &flow{class: c, key: key, virtual: c.clock}
+		f = &flow{class: c, key: key, weight: 1, inFluid: absent}
 		c.flows[key] = f
 	}
 	return f
 }
 
-// forget drops what nothing needs any more: a flow without requests that is owed or
-// owes nothing, and all of them when the class is idle.
+// forget drops what nothing needs any more: a flow without requests that has had no more
+// than its share, and all of them when the class is idle.
 func (c *class) forget(f *flow) {
 	if c.inUse == 0 && c.waiting[timely]+c.waiting[late] == 0 {
 		clear(c.flows)
+		c.fluid = newFluid()
 		return
 	}
-	if f.inUse == 0 && f.waiting == 0 && f.virtual <= c.clock {
+	if f.inUse == 0 && f.waiting == 0 && f.inFluid == absent && f.virtual <= c.fluid.virtual {
 		delete(c.flows, f.key)
 	}
 }
@@ -179,23 +192,31 @@
 // unknownWork is the cost of a request whose work is not known.
 const unknownWork = time.Millisecond
 
-// charge moves the flow's tag on by the work of a request that is granted
-// (start-time fair queueing).
-func (f *flow) charge(r *Request) {
+// cost returns the share of the class that a request needs.
+func (f *flow) cost(r *Request) float64 {
 	work := r.Work
 	if work <= 0 {
 		work = unknownWork
 	}
-	start := max(f.virtual, f.class.clock)
-	f.class.clock = start
-	f.virtual = start + work.Seconds()/float64(max(r.Weight, 1))
+	return work.Seconds() / f.weight
+}
+
+// ask notes that the flow wants what a request costs.
+func (f *flow) ask(r *Request) {
+	if f.inFluid == absent {
+		f.weight = float64(max(r.Weight, 1))
+	}
+	f.class.fluid.demand(f, f.cost(r))
+}
+
+// charge notes that the flow was granted a request that arrived at a virtual time.
+func (f *flow) charge(cost, arrived float64) {
+	f.virtual = max(f.virtual, arrived) + cost
+	f.class.fluid.serve(cost * f.weight)
 }
 
 // add takes in a request that has to wait.
 func (f *flow) add(e *entry, s stage) {
-	if f.waiting == 0 {
-		f.virtual = max(f.virtual, f.class.clock)
-	}
 	e.line = f.line(s, laneOf(&e.Request))
 	unlist(e.line)
 	e.line.requests.push(e)
--- a/internal/pool/fairness_test.go
+++ b/internal/pool/fairness_test.go
@@ -9,11 +9,11 @@
 	"pgregory.net/rapid"
 )
 
-// fluid gives accounts work in infinitely small parts: each that has demand gets the same
+// ideal gives accounts work in infinitely small parts: each that has demand gets the same
 // as the others, which is their max-min fair share.
-type fluid struct{ demand, got []float64 }
+type ideal struct{ demand, got []float64 }
 
-func (f *fluid) serve(work float64) {
+func (f *ideal) serve(work float64) {
 	for work > 1e-12 {
 		least, waiting := math.Inf(1), 0
 		for i := range f.demand {
@@ -42,13 +42,13 @@
 		const largest = 50
 		accounts := rapid.IntRange(2, 6).Draw(t, "accounts")
 		q := New(Config{Capacity: rapid.IntRange(1, 4).Draw(t, "capacity"), MaxQueue: 1000, Patient: true})
-		ideal := fluid{demand: make([]float64, accounts), got: make([]float64, accounts)}
+		fair := ideal{demand: make([]float64, accounts), got: make([]float64, accounts)}
 		granted := make([]float64, accounts)
 		var running []Request
 		grant := func(r Request) {
 			running = append(running, r)
 			granted[accountOf(r)] += r.Work.Seconds()
-			ideal.serve(r.Work.Seconds())
+			fair.serve(r.Work.Seconds())
 		}
 		for id := range uint64(rapid.IntRange(20, 200).Draw(t, "steps")) {
 			if len(running) > 0 && rapid.IntRange(0, 2).Draw(t, "ends") == 0 {
@@ -61,7 +61,7 @@
 					ID: id, Account: fmt.Sprint(account), Deadline: time.Hour,
 					Work: time.Duration(rapid.IntRange(1, largest).Draw(t, "work")) * time.Millisecond,
 				}
-				ideal.demand[account] += r.Work.Seconds()
+				fair.demand[account] += r.Work.Seconds()
 				if q.Offer(0, r) == Granted {
 					grant(r)
 				}
@@ -71,8 +71,8 @@
 				grant(r)
 			}
 			for i := range accounts {
-				if lacks := ideal.got[i] - granted[i]; lacks > (largest*time.Millisecond).Seconds()+1e-9 {
-					t.Fatalf("account %d has %.3f s of work granted, its share is %.3f s", i, granted[i], ideal.got[i])
+				if lacks := fair.got[i] - granted[i]; lacks > (largest*time.Millisecond).Seconds()+1e-9 {
+					t.Fatalf("account %d has %.3f s of work granted, its share is %.3f s", i, granted[i], fair.got[i])
 				}
 			}
 		}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -1,7 +1,7 @@
 // Package pool decides who gets the next connection of a member.
 //
 // Higher priorities come first, and what can still be answered in time before what
-// cannot. Within a priority services and accounts share by start-time fair queueing,
+// cannot. Within a priority services and accounts share by weighted fair queueing,
 // by the work that their requests are expected to take; what one of them brings is
 // ordered by the time at which it must start. A priority that has asked for as long as
 // its callers want to wait for an answer, and was granted nothing, gets one grant.
@@ -173,7 +173,8 @@
 		q.demand.note(now, q.fixed.inUse-q.fixed.parked+q.fixed.waiting+1)
 	}
 	if q.admissible(f, &r) {
-		q.grant(f, &r)
+		f.ask(&r)
+		q.grant(f, &r, f.cost(&r), c.fluid.virtual)
 		return Granted
 	}
 	if f.waiting >= q.cfg.MaxQueue {
@@ -188,7 +189,11 @@
 
 func (q *Queue) enqueue(f *flow, r Request) {
 	q.order++
-	e := &entry{Request: r, order: q.order, start: latestStart(&r), inLine: absent, inEnds: absent}
+	f.ask(&r)
+	e := &entry{
+		Request: r, order: q.order, cost: f.cost(&r), arrived: f.class.fluid.virtual, start: latestStart(&r),
+		inLine: absent, inEnds: absent,
+	}
 	e.arrival = q.arrivals.PushBack(e)
 	q.entries[r.ID] = e
 	q.ends.push(e)
@@ -200,8 +205,10 @@
 
 // giveUp takes a request out that is not granted.
 func (q *Queue) giveUp(e *entry) {
+	f := e.line.flow
 	q.remove(e)
-	e.line.flow.class.forget(e.line.flow)
+	f.class.fluid.withdraw(f, e.cost)
+	f.class.forget(f)
 }
 
 // remove takes a request out that waits.
@@ -270,7 +277,7 @@
 	return room
 }
 
-func (q *Queue) grant(f *flow, r *Request) {
+func (q *Queue) grant(f *flow, r *Request, cost, arrived float64) {
 	q.inUse++
 	f.inUse++
 	f.class.inUse++
@@ -281,7 +288,7 @@
 	if r.fixed() {
 		q.fixed.inUse++
 	}
-	f.charge(r)
+	f.charge(cost, arrived)
 	f.refresh()
 }
 
@@ -298,12 +305,18 @@
 	if r.fixed() {
 		q.fixed.inUse--
 	}
+	if held > 0 {
+		q.noteHeld(held)
+	}
+	f.refresh()
+	c.forget(f)
+}
+
+func (q *Queue) noteHeld(held time.Duration) {
 	if q.average == 0 {
 		q.average = held
 	}
 	q.average += (held - q.average) / averageSpan
-	f.refresh()
-	c.forget(f)
 }
 
 // averageSpan is the number of grants over which the holding time is averaged.
@@ -324,7 +337,7 @@
 			f.class.overtook++
 		}
 		q.remove(e)
-		q.grant(f, &e.Request)
+		q.grant(f, &e.Request, e.cost, e.arrived)
 		granted = append(granted, e.Request)
 	}
 }
