--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -109,7 +109,7 @@
 
 	// Guarded by the pool's mu.
 	parked bool
-	used   time.Duration // for which it ran something, once it is parked
+	used   time.Duration // until it was parked first, 0: it was not
 	ended  bool
 }
 
@@ -121,18 +121,35 @@
 	defer p.mu.Unlock()
 	if !l.parked && !l.ended {
 		now := p.now()
-		l.parked, l.used = true, now-l.since
+		l.parked = true
+		if l.used == 0 {
+			l.used = now - l.since
+		}
 		p.queue.Park(l.request)
 		p.pass(now)
 	}
 }
 
+// Resume ends what Park began: the connection runs something again.
+func (l *Lease[C]) Resume() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.parked && !l.ended {
+		l.parked = false
+		p.queue.Resume(p.now(), l.request)
+	}
+}
+
 // end returns the grant. The caller holds the pool's mu.
 func (l *Lease[C]) end() {
 	l.ended = true
-	used := l.pool.now() - l.since
+	used := l.used
+	if used == 0 {
+		used = l.pool.now() - l.since
+	}
 	if l.parked {
-		used = l.used
+		l.parked = false
 		l.pool.queue.Unpark(l.request)
 	}
 	l.pool.finish(l.request, used)
@@ -147,11 +164,11 @@
 }
 
 // SetMaxActive changes how many connections may be used at once, those that are
-// parked left out. 0 means no such bound.
-func (p *Pool[C]) SetMaxActive(n int) {
+// parked left out, and how many of them the member runs at once. 0 means no such bound.
+func (p *Pool[C]) SetMaxActive(n, running int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue.SetMaxActive(n)
+	p.queue.SetMaxActive(n, running)
 	p.pass(p.now())
 }
 
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -28,6 +28,9 @@
 	// bound. It keeps a queue in front of a busy member here, where it is fair and
 	// ends at deadlines, instead of at the member.
 	MaxActive int
+	// Running is how many of these the member can run at once, 0: not known. What is active
+	// beyond it waits at the member, in the order in which it came.
+	Running int
 	// Patient keeps requests in the queue until their deadline even when they are
 	// not expected to be served before it.
 	Patient bool
@@ -102,8 +105,9 @@
 // SetCapacity changes the number of connections. Those in use stay in use.
 func (q *Queue) SetCapacity(n int) { q.cfg.Capacity = n }
 
-// SetMaxActive changes the bound of the connections in use but for parked ones.
-func (q *Queue) SetMaxActive(n int) { q.cfg.MaxActive = n }
+// SetMaxActive changes the bound of the connections in use but for parked ones, and how
+// many of them run at once.
+func (q *Queue) SetMaxActive(n, running int) { q.cfg.MaxActive, q.cfg.Running = n, running }
 
 // Pause holds requests of a priority and of lower ones until a time. Those that
 // wait are granted by the first call of Next after it.
@@ -130,7 +134,8 @@
 	}
 }
 
-// Unpark ends what Park began.
+// Unpark ends what Park began. It is not bounded, since what holds the connection has
+// begun and others wait for its end.
 func (q *Queue) Unpark(r Request) {
 	q.parked--
 	if r.fixed() {
@@ -138,6 +143,15 @@
 	}
 }
 
+// Resume ends what Park began for further work of the same request.
+func (q *Queue) Resume(now time.Duration, r Request) {
+	q.now = now
+	q.Unpark(r)
+	if r.fixed() {
+		q.noteDemand(0)
+	}
+}
+
 // Capacity returns how many connections may be used at once.
 func (q *Queue) Capacity() int { return q.cfg.Capacity }
 
@@ -170,7 +184,7 @@
 	f.limit = r.Limit
 	c.noteAsked(now, &r)
 	if r.fixed() {
-		q.demand.note(now, q.fixed.inUse-q.fixed.parked+q.fixed.waiting+1)
+		q.noteDemand(1)
 	}
 	if q.admissible(f, &r) {
 		f.ask(&r)
@@ -272,8 +286,7 @@
 	}
 	room[write] = true
 	room[fixedRead] = q.reads < q.cfg.Capacity-q.cfg.WriteReserve
-	room[flexible] = room[fixedRead] && q.leavesReserve(q.cfg.Capacity, q.inUse, q.fixed.inUse) &&
-		(q.cfg.MaxActive == 0 || q.leavesReserve(q.cfg.MaxActive, active, q.fixed.inUse-q.fixed.parked))
+	room[flexible] = room[fixedRead] && q.leavesReserve(active)
 	return room
 }
 
@@ -374,8 +387,10 @@
 	return nil
 }
 
-// overdue returns a request of a priority that has been granted nothing for too long.
+// overdue returns a request of a priority that has been granted nothing for too long. It
+// may take what is reserved.
 func (q *Queue) overdue(room [lanes]bool) *entry {
+	room[flexible] = room[fixedRead]
 	for _, c := range q.classes {
 		if !c.overdue(q.now) || q.held(c.priority) {
 			continue
--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -25,15 +25,32 @@
 	return d.level * math.Exp2(-float64(now-d.at)/float64(demandHalfLife))
 }
 
-// reserve returns how many places are kept for work that only this member can run. Of
-// the places there are, one is always left for the rest.
-func (q *Queue) reserve(places int) int {
-	n := int(math.Round(q.demand.value(q.now)))
-	return min(n, places-1)
+// noteDemand takes in what only this member can run: what does, what waits, and more that
+// is about to.
+func (q *Queue) noteDemand(more int) {
+	q.demand.note(q.now, q.fixed.inUse-q.fixed.parked+q.fixed.waiting+more)
 }
 
-// leavesReserve reports whether a flexible request leaves the reserve of places free,
-// when so many are used by all, and by what only this member can run.
-func (q *Queue) leavesReserve(places, used, fixed int) bool {
-	return used+max(0, q.reserve(places)-fixed) < places
+// leavesReserve reports whether a flexible request leaves what is reserved while so many
+// connections are active. Where something is reserved, it does not wait at the member either,
+// before what comes there next.
+func (q *Queue) leavesReserve(active int) bool {
+	reserve := int(math.Round(q.demand.value(q.now)))
+	if reserve == 0 {
+		return true
+	}
+	if !leaves(reserve, q.cfg.Capacity, q.inUse, q.fixed.inUse) {
+		return false
+	}
+	places := q.cfg.MaxActive
+	if q.cfg.Running > 0 {
+		places = min(places, q.cfg.Running)
+	}
+	return places == 0 || leaves(reserve, places, active, q.fixed.inUse-q.fixed.parked)
+}
+
+// leaves reports whether a reserve is left of places of which so many are used, a part
+// of them by those that it is for. One place is never reserved.
+func leaves(reserve, places, used, own int) bool {
+	return used+max(0, min(reserve, places-1)-own) < places
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -144,6 +144,8 @@
 		return statement.Failure(s.state, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
 	}
 	tx, deadline := s.tx, s.relay.wall(arrived+s.tx.route.Timeout)
+	tx.held.lease.Resume()
+	defer tx.held.lease.Park() // without effect when the transaction has ended
 	for {
 		if err := tx.held.lease.Conn.Prepare(s.values, needed); err != nil {
 			return s.loseTx(st, err, false)
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -30,7 +30,8 @@
 	dialTimeout     = 400 * time.Millisecond // the handshake may wait behind a full queue of the member
 	minDialBackoff  = 50 * time.Millisecond  // refused connections are priced like served ones
 	maxDialBackoff  = 400 * time.Millisecond
-	maxQueue        = 64 // requests of one route that wait for a connection of one member
+	maxQueue        = 64 // requests of one account and priority that wait for a connection of one member
+	activePerSlot   = 2  // statements that may be at a member for each that it runs
 
 	// unusedFor is after what time a connection that nobody has used is closed, but
 	// for one. So a member keeps room for the connections of instances that have
@@ -83,7 +84,8 @@
 		}
 		if carriers, ok := placed[m.Group]; ok {
 			up.pool.SetCapacity(carriers.Connections(m.DataCentre, dataCentre))
-			up.pool.SetMaxActive(carriers.Active(m.Slots, m.DataCentre, dataCentre))
+			active := carriers.Active(m.Slots, m.DataCentre, dataCentre)
+			up.pool.SetMaxActive(active, max(1, active/activePerSlot))
 		}
 		carriers, known := placed[m.Group]
 		up.mu.Lock()
