--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -184,6 +184,13 @@
 	})
 }
 
+// Capacity returns how many connections may be used at once.
+func (p *Pool[C]) Capacity() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Capacity()
+}
+
 // InUse returns how many connections are leased.
 func (p *Pool[C]) InUse() int {
 	p.mu.Lock()
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -33,11 +33,13 @@
 	maxQueue        = 64 // requests of one account and priority that wait for a connection of one member
 	activePerSlot   = 2  // statements that may be at a member for each that it runs
 
-	// unusedFor is after what time a connection that nobody has used is closed, but
-	// for one. So a member keeps room for the connections of instances that have
-	// just started, while those of dead ones take up to 3 s to go.
+	// unusedFor is after what time a connection that nobody has used is closed, but for the
+	// part that an instance keeps of those that it may use, at least one. A connection serves its
+	// account only: the longer it stays, the more often the account finds it. The rest is closed
+	// so that a member has room for instances that have just started, while the
+	// connections of dead ones take their time to go.
 	unusedFor = 600 * time.Millisecond
-	keepOpen  = 1
+	keepPart  = 2 // one in so many
 	// ShrinkInterval is the pause between two looks for such.
 	ShrinkInterval = unusedFor / 3
 	// patience is how long a request waits for a connection in use before another
@@ -244,7 +246,7 @@
 	defer u.mu.Unlock()
 	for _, up := range u.members {
 		if up.isCarried() {
-			up.pool.Shrink(unusedFor, keepOpen)
+			up.pool.Shrink(unusedFor, max(1, up.pool.Capacity()/keepPart))
 		} else {
 			up.pool.DropIdle()
 		}
