--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -25,12 +25,17 @@
 		a.why = "no replica is known to be fresh enough"
 		return a.tryPrimary(a.holdUntil())
 	}
-	order := routing.Order(a.candidates(), required, a.group.age(a.now(), required))
+	age := a.group.age(a.now(), required)
+	order := routing.Order(a.candidates(), required, age)
+	if routing.Await(order, required, age, a.holdUntil()-a.now()-retryPause) {
+		a.why = "a replica is about to hold what the read must see"
+		return statement.Answer{}, noRoom
+	}
 	last := noRoom
 	for i, c := range order {
 		wait := time.Duration(0) // a connection that is free now
 		if i == 0 && a.tries > 0 || len(order) == 1 {
-			wait = retryPause
+			wait = a.queueTime()
 		}
 		answer, out := a.tryOne(c, required, a.now()+wait, len(order)-i > 1)
 		if out == served || out == unknown {
@@ -42,6 +47,13 @@
 	return statement.Answer{}, last
 }
 
+// queueTime returns for how long a read waits for a connection to the member that suits
+// it best before it looks at all of them again. In the queue it has a place by its
+// priority and account, which it loses each time that it leaves.
+func (a *attempt) queueTime() time.Duration {
+	return max(retryPause, (a.holdUntil()-a.now())/2)
+}
+
 // required returns the position that a read must see, or false when no sample
 // of the primary is young enough.
 func (a *attempt) required() (group.Position, bool) {
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -29,6 +29,7 @@
 	health   member.Health
 	position group.Position // end of its log, as its answers told
 	behind   time.Duration  // how long ago the primary was there; negative: not known
+	growing  bool           // that has become more since the answer before
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
 	lagSince time.Duration  // when the first of them was
@@ -84,6 +85,7 @@
 func (up *upstream) noteProgress(behind time.Duration, lagging bool, now time.Duration) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
+	up.growing = behind > up.behind
 	up.behind = behind
 	if !lagging {
 		up.lagged = 0
@@ -117,6 +119,7 @@
 		Refused:  now < up.lagUntil,
 		Position: up.position,
 		Behind:   up.behind,
+		Growing:  up.growing,
 		Load:     up.pool.Load(),
 	}
 }
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -18,6 +18,7 @@
 	Refused  bool           // could not serve a read for want of log a moment ago
 	Position group.Position // end of its log as last told
 	Behind   time.Duration  // how long ago the primary was there; negative: not known
+	Growing  bool           // it was further behind when it last told than before
 	Load     int            // requests of this instance that it holds or that wait for it
 }
 
