--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -212,6 +212,13 @@
 	return p.queue.Backlog(priority)
 }
 
+// Waits returns what is known of each priority, the highest first.
+func (p *Pool[C]) Waits() []pool.Waiting {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Waits()
+}
+
 // Load returns how many requests hold a connection or wait for one.
 func (p *Pool[C]) Load() int {
 	p.mu.Lock()
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -33,8 +33,8 @@
 type Waiting struct {
 	Priority int
 	Now      int
-	Overtook uint64 // granted before others that had come earlier
-	Overdue  uint64 // granted before higher priorities, since none had been for too long
+	Overtook int // granted before others that had come earlier, in all
+	Overdue  int // granted since none had been for too long, in all
 }
 
 // Waits returns what is known of each priority, the highest first.
--- a/internal/pool/class.go
+++ b/internal/pool/class.go
@@ -116,8 +116,8 @@
 	work     [stages]time.Duration // expected, of what waits and tells
 	unknown  [stages]int           // requests that wait and do not tell
 
-	overtook      uint64 // grants before others that had come earlier
-	overdueGrants uint64 // grants since there had been none for too long
+	overtook      int // grants before others that had come earlier
+	overdueGrants int // grants since there had been none for too long
 
 	unserved time.Duration // when it first asked since it was last granted anything
 	asking   bool          // it has asked since
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -218,7 +218,9 @@
 		if recent == (tally{}) {
 			continue
 		}
+		waits := newWaits(up.pool.Waits())
 		log.WithFields(logrus.Fields{
+			"waiting_by_priority": waits.numbers(waitingNow), "overtook": waits.numbers(overtook), "overdue": waits.numbers(overdue),
 			"group": up.group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
@@ -236,6 +238,7 @@
 		metrics.WriteGaugeUint64(w, "stackspindle_member_connections"+labels, uint64(up.pool.Open()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_in_use"+labels, uint64(up.pool.InUse()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_waiting"+labels, uint64(up.pool.Waiting()))
+		newWaits(up.pool.Waits()).write(w, up.group, id)
 	}
 }
 
