--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -164,11 +164,11 @@
 }
 
 // SetMaxActive changes how many connections may be used at once, those that are
-// parked left out, and how many of them the member runs at once. 0 means no such bound.
-func (p *Pool[C]) SetMaxActive(n, running int) {
+// parked left out. 0 means no such bound.
+func (p *Pool[C]) SetMaxActive(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue.SetMaxActive(n, running)
+	p.queue.SetMaxActive(n)
 	p.pass(p.now())
 }
 
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -130,7 +130,7 @@
 // A lease that has ended cannot be parked any more, or its place would be lost.
 func TestParkAfterTheEndChangesNothing(t *testing.T) {
 	p, _ := newPool(&dialer{limit: 2}, never)
-	p.SetMaxActive(1, 0)
+	p.SetMaxActive(1)
 	for range 3 {
 		lease := acquire(t, p)
 		lease.Park()
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -28,9 +28,6 @@
 	// bound. It keeps a queue in front of a busy member here, where it is fair and
 	// ends at deadlines, instead of at the member.
 	MaxActive int
-	// Running is how many of these the member can run at once, 0: not known. What is active
-	// beyond it waits at the member, in the order in which it came.
-	Running int
 	// Patient keeps requests in the queue until their deadline even when they are
 	// not expected to be served before it.
 	Patient bool
@@ -105,9 +102,8 @@
 // SetCapacity changes the number of connections. Those in use stay in use.
 func (q *Queue) SetCapacity(n int) { q.cfg.Capacity = n }
 
-// SetMaxActive changes the bound of the connections in use but for parked ones, and how
-// many of them run at once.
-func (q *Queue) SetMaxActive(n, running int) { q.cfg.MaxActive, q.cfg.Running = n, running }
+// SetMaxActive changes the bound of the connections in use but for parked ones.
+func (q *Queue) SetMaxActive(n int) { q.cfg.MaxActive = n }
 
 // Pause holds requests of a priority and of lower ones until a time. Those that
 // wait are granted by the first call of Next after it.
--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -32,8 +32,7 @@
 }
 
 // leavesReserve reports whether a flexible request leaves what is reserved while so many
-// connections are active. Where something is reserved, it does not wait at the member either,
-// before what comes there next.
+// connections are active.
 func (q *Queue) leavesReserve(active int) bool {
 	reserve := int(math.Round(q.demand.value(q.now)))
 	if reserve == 0 {
@@ -42,11 +41,7 @@
 	if !leaves(reserve, q.cfg.Capacity, q.inUse, q.fixed.inUse) {
 		return false
 	}
-	places := q.cfg.MaxActive
-	if q.cfg.Running > 0 {
-		places = min(places, q.cfg.Running)
-	}
-	return places == 0 || leaves(reserve, places, active, q.fixed.inUse-q.fixed.parked)
+	return q.cfg.MaxActive == 0 || leaves(reserve, q.cfg.MaxActive, active, q.fixed.inUse-q.fixed.parked)
 }
 
 // leaves reports whether a reserve is left of places of which so many are used, a part
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -31,7 +31,6 @@
 	minDialBackoff  = 50 * time.Millisecond  // refused connections are priced like served ones
 	maxDialBackoff  = 400 * time.Millisecond
 	maxQueue        = 64 // requests of one account and priority that wait for a connection of one member
-	activePerSlot   = 2  // statements that may be at a member for each that it runs
 
 	// unusedFor is after what time a connection that nobody has used is closed, but for the
 	// part that an instance keeps of those that it may use, at least one. A connection serves its
@@ -86,8 +85,7 @@
 		}
 		if carriers, ok := placed[m.Group]; ok {
 			up.pool.SetCapacity(carriers.Connections(m.DataCentre, dataCentre))
-			active := carriers.Active(m.Slots, m.DataCentre, dataCentre)
-			up.pool.SetMaxActive(active, max(1, active/activePerSlot))
+			up.pool.SetMaxActive(carriers.Active(m.Slots, m.DataCentre, dataCentre))
 		}
 		carriers, known := placed[m.Group]
 		up.mu.Lock()
