--- /dev/null
+++ b/internal/admission/overload.go
@@ -0,0 +1,23 @@
+package admission
+
+import "time"
+
+// overloadGap is after what time without a refusal an overload counts as over.
+const overloadGap = 500 * time.Millisecond
+
+// Overload remembers since when requests have been refused at one place. The zero Overload
+// is none. It is not safe for concurrent use.
+type Overload struct {
+	since, last time.Duration
+	refusing    bool
+}
+
+// Refused notes a refusal and returns for how long there have been such.
+func (o *Overload) Refused(now time.Duration) time.Duration {
+	now = bounded(now)
+	if !o.refusing || now < o.last || now-o.last > overloadGap {
+		o.refusing, o.since = true, now
+	}
+	o.last = now
+	return bounded(now - o.since)
+}
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -39,6 +39,10 @@
 // Share returns the share, at most 1.
 func (w *Window) Share() float64 { return 1 - w.less }
 
+// Slowdown returns how many times its usual time a statement takes at the member now, 0
+// while that is not known.
+func (w *Window) Slowdown() float64 { return w.ratio }
+
 // Full reports whether the member has about as much as it can run, or more.
 func (w *Window) Full() bool { return w.ratio >= roomRatio }
 
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/routing"
@@ -26,13 +27,13 @@
 		return a.tryPrimary(a.holdUntil())
 	}
 	order := routing.Order(a.candidates(), required, a.group.age(a.now(), required))
+	if a.tries > 0 || len(order) == 1 {
+		a.tries++
+		return a.waitAtBest(order, required)
+	}
 	last := noRoom
 	for i, c := range order {
-		wait := time.Duration(0) // a connection that is free now
-		if i == 0 && a.tries > 0 || len(order) == 1 {
-			wait = retryPause
-		}
-		answer, out := a.tryOne(c, required, a.now()+wait, len(order)-i > 1)
+		answer, out := a.tryOne(c, required, a.now(), len(order)-i > 1) // where a connection is free now
 		if out == served || out == unknown {
 			return answer, out
 		}
@@ -85,7 +86,7 @@
 	}
 	timeout := a.deadline
 	if others {
-		timeout = min(timeout, a.now()+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
+		timeout = min(timeout, max(waitUntil, a.now())+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
 	}
 	return a.tryAt(a.ctx, target{up: up, after: required}, waitUntil, timeout)
 }
@@ -98,11 +99,14 @@
 	pass, err := a.gate.Enter(breaker.trip)
 	if err != nil {
 		a.why = err.Error()
+		a.obstacle = &obstacle{reason: admission.Change, left: a.group.outage(a.now(), a.gate)}
 		return statement.Answer{}, noRoom
 	}
+	a.group.noteAuthority(a.now())
 	if !a.mayWrite(pass) {
 		pass.Done()
 		a.why = "the grant is not confirmed, and the members do not verify it"
+		a.obstacle = &obstacle{reason: admission.Change, left: a.group.lapse()}
 		return statement.Answer{}, noRoom
 	}
 	up := a.s.relay.upstreams.get(pass.Primary)
@@ -111,6 +115,10 @@
 		a.why = "the primary's entry is gone"
 		return statement.Answer{}, noRoom
 	}
+	if !a.admitTo(up, waitUntil) {
+		pass.Done()
+		return statement.Answer{}, noRoom
+	}
 	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker}, waitUntil, a.deadline)
 	if a.s.tx == nil || a.s.tx.pass != pass {
 		pass.Done()
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/member"
@@ -25,7 +26,6 @@
 	gate     *lead.Gate
 	arrived  time.Duration
 	deadline time.Duration // for the whole answer
-	untried  time.Duration // until which it may wait without having been offered
 	reads    bool
 	offered  bool // a member that could run it was asked
 	maybeRun bool // a member may have run it, without an answer that could be passed on
@@ -33,6 +33,11 @@
 	tries    int
 	why      string // the last refusal, for the caller and the log
 
+	verdict  admission.Verdict // on the wait for the member that was chosen last
+	decided  bool              // there is a verdict, which stands until the statement has run
+	obstacle *obstacle         // why no member could be asked in this round, other than that all are full
+	waits    bool              // it was found worth holding although there is an obstacle
+
 	failures int              // members that ran the read and failed
 	failed   statement.Answer // of the last of them
 
@@ -75,7 +80,6 @@
 		arrived: arrived, deadline: arrived + route.Timeout, reads: s.reads(st),
 		why: "no member could be asked",
 	}
-	a.untried = arrived + time.Duration(float64(route.LatencyObjective)*untriedShare) - answerMargin
 	answer := a.run()
 	s.relay.observe(a, answer)
 	return answer
@@ -84,6 +88,7 @@
 // run tries members until one has served the statement or time is up.
 func (a *attempt) run() statement.Answer {
 	for {
+		a.obstacle = nil
 		answer, out := a.round()
 		switch out {
 		case served:
@@ -91,7 +96,7 @@
 		case unknown:
 			return a.giveUpUnknown()
 		}
-		if a.atLimit || !a.mayWait() {
+		if a.atLimit || !a.worthHolding() {
 			return a.refuse()
 		}
 		a.pause()
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -3,43 +3,173 @@
 import (
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
+	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/routing"
 	"github.com/stackspindle/stackspindle/internal/statement"
 )
 
 // Settings of how long a first statement is held.
 const (
-	// untriedShare is the part of its objective for which a statement may wait
-	// without having been offered to a member; then it is refused, so that its
-	// caller can go elsewhere in time. The platform's users count more as a loss.
-	untriedShare = 0.25
-	// answerMargin is kept of that for the refusal to leave.
+	// answerMargin is kept of the time that a statement has, for the answer to leave.
 	answerMargin = 8 * time.Millisecond
-	// changeHold is how long after the loss of a primary statements for it are
-	// held for the next one: a change takes 0.5 to 1 s, and one that takes longer
-	// waits for something that is not about to end.
-	changeHold = 2500 * time.Millisecond
 	// retryPause is the pause after all members have refused.
 	retryPause = 6 * time.Millisecond
+	// stayTimes is how many times its predicted wait a read stays in the queue of one
+	// member before the members are compared again.
+	stayTimes = 2
 	// comeBack is the advice of a refusal when nothing better is known.
 	comeBack = 50 * time.Millisecond
 )
 
-// mayWait reports whether the statement may be held for another round.
-func (a *attempt) mayWait() bool { return a.now()+retryPause < a.holdUntil() }
+// obstacle is why a member could not be asked, other than that it is full.
+type obstacle struct {
+	reason admission.Reason
+	left   time.Duration // for which it is expected to last
+}
 
-// holdUntil returns until when the statement may be held. One that was offered
-// is held for its objective; one that waits for a new primary as long as that is
-// about to come.
-func (a *attempt) holdUntil() time.Duration {
-	switch {
-	case a.offered:
-		return min(a.deadline, a.arrived+a.route.LatencyObjective)
-	case a.needsPrimary():
-		if lost := a.gate.LostFor(); lost > 0 && lost < changeHold {
-			return a.deadline
+// unreachable is the obstacle of a member to which no connection can be had. It is expected
+// to last as long again as the member has not answered.
+func unreachable(up *upstream, now time.Duration) *obstacle {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	since, ok := up.health.SinceAnswer(now)
+	if !ok || !up.health.Doubtful() {
+		since = 0
+	}
+	return &obstacle{reason: admission.Unreachable, left: since}
+}
+
+// request returns what admission needs to know of the statement. One that arrives late,
+// since others could not run it, is treated as its caller's next attempt would be.
+func (a *attempt) request() admission.Request {
+	left := max(0, a.deadline-a.now())
+	return admission.Request{
+		ID: a.st.ID, Usual: a.group.usual(kindOf(a.route)), Objective: min(a.route.LatencyObjective, left), Deadline: left,
+	}
+}
+
+// level returns the rank of the statement among all priorities that are told apart.
+func (a *attempt) level() int { return min(max(a.route.Priority, 0), lowestPriority) }
+
+// decide returns whether the wait for a member is worth it.
+func (up *upstream) decide(now time.Duration, level int, r admission.Request) admission.Verdict {
+	backlog := up.backlog(level)
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	backlog.Slowdown = up.window.Slowdown()
+	return up.levels[level].Decide(now, r, backlog)
+}
+
+func (up *upstream) backlog(level int) admission.Backlog {
+	b := up.pool.Backlog(level)
+	return admission.Backlog{Ahead: b.Ahead, Work: b.Work, Active: b.Active, Slots: b.Slots, Held: b.Held}
+}
+
+// admitTo reports whether the statement may wait for a member. One that was admitted once
+// stays so.
+func (a *attempt) admitTo(up *upstream, waitUntil time.Duration) bool {
+	if a.decided || waitUntil <= a.now() {
+		return true
+	}
+	a.verdict, a.decided = up.decide(a.now(), a.level(), a.request()), true
+	if !a.verdict.Admit {
+		a.lastMember, a.why = up.id, "member "+up.id+": what waits there already takes longer than the statement can wait"
+	}
+	return a.verdict.Admit
+}
+
+// waitAtBest has a read wait for the member at which it is expected to run first.
+func (a *attempt) waitAtBest(order []routing.Candidate, required group.Position) (statement.Answer, outcome) {
+	if len(order) == 0 {
+		a.why = "no member is known that could serve it"
+		return statement.Answer{}, noRoom
+	}
+	best, verdict := a.best(order, required)
+	if !a.decided {
+		a.verdict, a.decided = verdict, true
+	}
+	if !a.verdict.Admit {
+		a.lastMember, a.why = best.ID, "what waits at the members already takes longer than the statement can wait"
+		return statement.Answer{}, noRoom
+	}
+	stay := max(retryPause, stayTimes*verdict.Wait)
+	return a.tryOne(best, required, min(a.now()+stay, a.holdUntil()), len(order) > 1)
+}
+
+// best returns the member at which a read is expected to run first, of those that are
+// fit to serve it where there are such. The first of equals is the one that routing prefers.
+func (a *attempt) best(order []routing.Candidate, required group.Position) (routing.Candidate, admission.Verdict) {
+	now, request := a.now(), a.request()
+	age := a.group.age(now, required)
+	best, verdict := order[0], admission.Verdict{Admit: true}
+	for i, c := range order {
+		up := a.s.relay.upstreams.get(c.ID)
+		if up == nil || i > 0 && !c.Fit(required, age) {
+			continue
+		}
+		if v := up.decide(now, a.level(), request); i == 0 || v.Wait < verdict.Wait {
+			best, verdict = c, v
 		}
 	}
-	return min(a.deadline, a.untried)
+	return best, verdict
+}
+
+// place is a statement's place in the queue before a member.
+type place struct {
+	up        *upstream
+	level     int
+	since     time.Duration
+	predicted time.Duration
+}
+
+// enterQueue notes that the statement may wait for a member until a time; nil: it does not.
+func (a *attempt) enterQueue(up *upstream, until time.Duration) *place {
+	now := a.now()
+	if until <= now {
+		return nil
+	}
+	p := &place{up: up, level: a.level(), since: now, predicted: a.verdict.Predicted}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.levels[p.level].Began(now)
+	return p
+}
+
+// leave notes that the statement waits no longer.
+func (p *place) leave(now time.Duration, granted bool) {
+	if p == nil {
+		return
+	}
+	p.up.mu.Lock()
+	defer p.up.mu.Unlock()
+	p.up.levels[p.level].Ended(now, now-p.since, p.predicted, granted)
+}
+
+// worthHolding reports whether the statement is held for another round.
+func (a *attempt) worthHolding() bool {
+	if a.decided && !a.verdict.Admit {
+		return false
+	}
+	if a.obstacle != nil && !a.waits {
+		v := admission.DecideOutage(a.request(), a.obstacle.left, a.obstacle.reason)
+		if !v.Admit {
+			a.verdict, a.decided = v, true
+			return false
+		}
+		a.waits = true
+	}
+	return a.now()+retryPause < a.holdUntil()
+}
+
+// holdUntil returns until when the statement may be held. One that was admitted is held
+// until it has run, while there is time for it to run; one that waits for what nobody can
+// foresee, for its objective.
+func (a *attempt) holdUntil() time.Duration {
+	if a.decided && !a.offered && !a.waits {
+		return a.deadline - answerMargin - a.group.usual(kindOf(a.route))
+	}
+	return min(a.deadline, a.arrived+a.route.LatencyObjective)
 }
 
 // pause waits for a moment, or until the group's primary changes.
@@ -62,10 +192,27 @@
 		return a.failed
 	}
 	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", a.why)
-	answer.Err.RetryAfter = comeBack
+	answer.Err.RetryAfter = a.comeBack()
+	a.s.relay.noteRefusal(a, answer.Err.RetryAfter)
 	return answer
 }
 
+// comeBack returns after what time the caller is told to try again.
+func (a *attempt) comeBack() time.Duration {
+	switch {
+	case a.verdict.ComeBack > 0:
+		return a.verdict.ComeBack
+	case a.obstacle != nil:
+		return admission.ComeBack(a.request(), a.obstacle.left, 0)
+	}
+	if up := a.s.relay.upstreams.get(a.lastMember); up != nil {
+		if v := up.decide(a.now(), a.level(), a.request()); v.Wait > 0 {
+			return admission.ComeBack(a.request(), v.Wait, 0)
+		}
+	}
+	return comeBack
+}
+
 func (a *attempt) giveUpUnknown() statement.Answer {
 	return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %s", a.why)
 }
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -63,6 +63,7 @@
 		return statement.Answer{}, noRoom
 	}
 	a.lastMember, a.lastAfter = up.id, t.after
+	queued := a.enterQueue(up, waitUntil)
 	lease, err := up.pool.Acquire(ctx, pool.Request{
 		Service:   priorityNames[min(a.route.Priority, lowestPriority)],
 		Account:   a.account,
@@ -75,6 +76,7 @@
 		Write:     !a.reads,
 		Deadline:  max(waitUntil, a.now()),
 	}, func(c *member.Shared) int { return c.Match(a.s.values) })
+	queued.leave(a.now(), err == nil)
 	if err != nil {
 		a.noteNoRoom(up, err)
 		return statement.Answer{}, noRoom
@@ -146,12 +148,16 @@
 	a.why = "member " + up.id + ": " + err.Error()
 	var refusal *statement.Error
 	switch {
+	case errors.Is(err, connpool.ErrBackoff):
+		a.obstacle = unreachable(up, a.now())
+		return
 	case errors.Is(err, connpool.ErrDeadline), errors.Is(err, connpool.ErrQueueFull),
-		errors.Is(err, connpool.ErrClosed), errors.Is(err, connpool.ErrBackoff),
+		errors.Is(err, connpool.ErrClosed),
 		errors.Is(err, context.Canceled), errors.As(err, &refusal):
 		return
 	}
 	up.noteMiss(a.now())
+	a.obstacle = unreachable(up, a.now())
 }
 
 // lostAnswer decides about a statement whose answer did not arrive. What cannot
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,6 +132,23 @@
 	}
 }
 
+// noteRefusal counts and logs that a statement was refused, with what was known: whether
+// that was at once, for what reason, and what was predicted.
+func (r *Relay) noteRefusal(a *attempt, comeBack time.Duration) {
+	held, reason := r.now()-a.arrived, "held"
+	if a.decided && !a.verdict.Admit {
+		reason = a.verdict.Reason.String()
+	}
+	r.set.GetOrCreateCounter(`stackspindle_refusals_total{reason="` + reason + `",priority="` + priorityNames[a.level()] + `"}`).Inc()
+	if leftOut, ok := r.sampler.Allow("refusal" + reason + a.route.Group); ok {
+		r.log.WithFields(logrus.Fields{
+			"request": a.st.ID, "group": a.route.Group, "member": a.lastMember, "priority": a.route.Priority, "reason": reason,
+			"held_ms": held.Milliseconds(), "predicted_ms": a.verdict.Predicted.Milliseconds(), "wait_ms": a.verdict.Wait.Milliseconds(),
+			"objective_ms": a.route.LatencyObjective.Milliseconds(), "come_back_ms": comeBack.Milliseconds(), "offered": a.offered, "left_out": leftOut,
+		}).Info("relay: a statement was refused")
+	}
+}
+
 // consistencyNames name the kinds of routes in logs and metrics.
 var consistencyNames = map[topology.Consistency]string{
 	topology.Strict: "strict", topology.BoundedStaleness: "bounded", topology.ReadYourWrites: "own_writes",
--- a/internal/relay/samples.go
+++ b/internal/relay/samples.go
@@ -25,6 +25,7 @@
 	samples  *routing.Samples
 	verifier verifier
 	works    map[workKind]*pacing.Work
+	outages  outages
 }
 
 // note takes a sample of the primary's log: everything acknowledged before the
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/member"
@@ -34,6 +35,7 @@
 	lagSince time.Duration  // when the first of them was
 	recent   tally
 	window   pacing.Window
+	levels   [lowestPriority + 1]admission.Level
 }
 
 // tally is what came of the attempts at a member since the last report.
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -63,6 +63,11 @@
 	return 1
 }
 
+// Fit reports whether a candidate should be able to serve a read now.
+func (c Candidate) Fit(required group.Position, age time.Duration) bool {
+	return rank(c, required, age) == 0
+}
+
 func cost(c Candidate) int {
 	cost := c.Load * perRequest
 	if c.Primary {
