--- a/internal/admission/change.go
+++ b/internal/admission/change.go
@@ -66,6 +66,14 @@
 	if v.Wait+bounded(r.Usual) <= r.Objective {
 		return v
 	}
-	v.Admit, v.Reason, v.ComeBack = false, reason, ComeBack(r, left, 0)
+	v.Admit, v.Reason, v.ComeBack = false, reason, ComeBackAfter(r, left)
 	return v
 }
+
+// ComeBackAfter returns after what time a request should come back that was refused since
+// something out of the ordinary is expected to last for a time. How long that really lasts
+// nobody knows, and a change of primary may end it: nobody is sent away for longer than
+// such a change takes.
+func ComeBackAfter(r Request, left time.Duration) time.Duration {
+	return ComeBack(r, min(left, defaultChange), 0)
+}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -33,11 +33,16 @@
 func unreachable(up *upstream, now time.Duration) *obstacle {
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	since, ok := up.health.SinceAnswer(now)
-	if !ok || !up.health.Doubtful() {
-		since = 0
+	return &obstacle{reason: admission.Unreachable, left: up.silent(now)}
+}
+
+// silent returns for how long the member has not answered although it was asked. The
+// caller holds mu.
+func (up *upstream) silent(now time.Duration) time.Duration {
+	if since, ok := up.health.SinceAnswer(now); ok && up.health.Doubtful() {
+		return since
 	}
-	return &obstacle{reason: admission.Unreachable, left: since}
+	return 0
 }
 
 // request returns what admission needs to know of the statement. One that arrives late,
@@ -57,6 +62,9 @@
 	backlog := up.backlog(level)
 	up.mu.Lock()
 	defer up.mu.Unlock()
+	if silent := up.silent(now); silent > 0 && up.probing {
+		return admission.DecideOutage(r, silent, admission.Unreachable)
+	}
 	backlog.Slowdown = up.window.Slowdown()
 	return up.levels[level].Decide(now, r, backlog)
 }
@@ -121,6 +129,7 @@
 	level     int
 	since     time.Duration
 	predicted time.Duration
+	probe     bool // it shows whether a member is there that has not answered
 }
 
 // enterQueue notes that the statement may wait for a member until a time; nil: it does not.
@@ -133,6 +142,9 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.levels[p.level].Began(now)
+	if !up.probing && up.silent(now) > 0 {
+		p.probe, up.probing = true, true
+	}
 	return p
 }
 
@@ -143,6 +155,9 @@
 	}
 	p.up.mu.Lock()
 	defer p.up.mu.Unlock()
+	if p.probe {
+		p.up.probing = false
+	}
 	p.up.levels[p.level].Ended(now, now-p.since, p.predicted, granted)
 }
 
@@ -203,7 +218,7 @@
 	case a.verdict.ComeBack > 0:
 		return a.verdict.ComeBack
 	case a.obstacle != nil:
-		return admission.ComeBack(a.request(), a.obstacle.left, 0)
+		return admission.ComeBackAfter(a.request(), a.obstacle.left)
 	}
 	if up := a.s.relay.upstreams.get(a.lastMember); up != nil {
 		if v := up.decide(a.now(), a.level(), a.request()); v.Wait > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -144,7 +144,7 @@
 		r.log.WithFields(logrus.Fields{
 			"request": a.st.ID, "group": a.route.Group, "member": a.lastMember, "priority": a.route.Priority, "reason": reason,
 			"held_ms": held.Milliseconds(), "predicted_ms": a.verdict.Predicted.Milliseconds(), "wait_ms": a.verdict.Wait.Milliseconds(),
-			"objective_ms": a.route.LatencyObjective.Milliseconds(), "come_back_ms": comeBack.Milliseconds(), "offered": a.offered, "left_out": leftOut,
+			"objective_ms": a.route.LatencyObjective.Milliseconds(), "come_back_ms": comeBack.Milliseconds(), "offered": a.offered, "why": a.why, "left_out": leftOut,
 		}).Info("relay: a statement was refused")
 	}
 }
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -36,6 +36,7 @@
 	recent   tally
 	window   pacing.Window
 	levels   [lowestPriority + 1]admission.Level
+	probing  bool // a statement is on its way that will show whether the member is there
 }
 
 // tally is what came of the attempts at a member since the last report.
