--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -20,8 +20,13 @@
 	stayTimes = 2
 	// comeBack is the advice of a refusal when nothing better is known.
 	comeBack = 50 * time.Millisecond
+	// lowestPriority is the last priority that is told apart; what ranks lower counts the same.
+	lowestPriority = 4
 )
 
+// priorityNames name the priorities in metrics.
+var priorityNames = [lowestPriority + 1]string{"0", "1", "2", "3", "4"}
+
 // obstacle is why a member could not be asked, other than that it is full.
 type obstacle struct {
 	reason admission.Reason
