--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -20,6 +20,7 @@
 	// Slowdown is how many times its usual time a request takes at the member now,
 	// since others run beside it or wait there; below 1: not known.
 	Slowdown float64
+	Paused   time.Duration // for which nothing of its priority is granted
 }
 
 // Request is what a decision needs to know of a request.
@@ -84,8 +85,9 @@
 // at a fraction of the speed. So what waits is drained at the speed of the slots divided
 // by that factor, whoever else the member works for.
 func (b Backlog) Wait() (time.Duration, bool) {
+	paused := min(bounded(b.Paused), maxWait)
 	if b.Ahead <= 0 && b.Active < b.Slots {
-		return 0, true
+		return paused, true
 	}
 	ahead, slots, held := min(max(b.Ahead, 0), maxAhead), max(b.Slots, 1), bounded(b.Held)
 	work := bounded(b.Work)
@@ -102,7 +104,7 @@
 	if b.Active >= b.Slots {
 		wait += held / time.Duration(slots) // until the next one that runs has ended
 	}
-	return min(wait, maxWait), true
+	return min(wait+paused, maxWait), true
 }
 
 // bounded returns a duration within what is believed, 0 for one that makes no sense.
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -9,6 +9,8 @@
 	Active int           // requests that hold a connection and are not parked
 	Slots  int           // how many may be active at once, with the connections that parked ones leave
 	Held   time.Duration // usual time for which a connection is in use, 0: not known
+	// PausedUntil is until when requests of the priority are held, 0: they are not.
+	PausedUntil time.Duration
 }
 
 // Backlog returns what a new request of a priority would find. Those whose work is
@@ -18,6 +20,11 @@
 	if q.cfg.MaxActive > 0 {
 		b.Slots = min(b.Slots, q.cfg.MaxActive)
 	}
+	for level, until := range q.pauses {
+		if level <= priority {
+			b.PausedUntil = max(b.PausedUntil, until)
+		}
+	}
 	for _, c := range q.classes {
 		if c.priority > priority {
 			break
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -71,12 +71,15 @@
 		return admission.DecideOutage(r, silent, admission.Unreachable)
 	}
 	backlog.Slowdown = up.window.Slowdown()
+	if backlog.Paused = backlog.Paused - now; backlog.Paused > 0 {
+		backlog.Slowdown = max(1, backlog.Slowdown) / up.window.Share() // it works for this instance for a share of the time
+	}
 	return up.levels[level].Decide(now, r, backlog)
 }
 
 func (up *upstream) backlog(level int) admission.Backlog {
 	b := up.pool.Backlog(level)
-	return admission.Backlog{Ahead: b.Ahead, Work: b.Work, Active: b.Active, Slots: b.Slots, Held: b.Held}
+	return admission.Backlog{Ahead: b.Ahead, Work: b.Work, Active: b.Active, Slots: b.Slots, Held: b.Held, Paused: b.PausedUntil}
 }
 
 // admitTo reports whether the statement may wait for a member. One that was admitted once
@@ -86,6 +89,7 @@
 		return true
 	}
 	a.verdict, a.decided = up.decide(a.now(), a.level(), a.request()), true
+	a.predicted = a.verdict.Predicted
 	if !a.verdict.Admit {
 		a.lastMember, a.why = up.id, "member "+up.id+": what waits there already takes longer than the statement can wait"
 	}
@@ -106,6 +110,7 @@
 		a.lastMember, a.why = best.ID, "what waits at the members already takes longer than the statement can wait"
 		return statement.Answer{}, noRoom
 	}
+	a.predicted = verdict.Predicted
 	stay := max(retryPause, stayTimes*verdict.Wait)
 	return a.tryOne(best, required, min(a.now()+stay, a.holdUntil()), len(order) > 1)
 }
@@ -143,7 +148,7 @@
 	if until <= now {
 		return nil
 	}
-	p := &place{up: up, level: a.level(), since: now, predicted: a.verdict.Predicted}
+	p := &place{up: up, level: a.level(), since: now, predicted: a.predicted}
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.levels[p.level].Began(now)
