--- /dev/null
+++ b/internal/admission/outlook_test.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// us returns waits as they are told.
+func us(waits ...time.Duration) []uint32 { return Shorten(waits) }
+
+func TestCarriersAreChosenByWhatTheyTell(t *testing.T) {
+	three := []Carrier{{Name: "own"}, {Name: "alike"}, {Name: "far", Rank: 1}}
+	q := Query{Group: "g", Work: OnPrimary, Priority: 1, Request: Request{ID: "x", Objective: 200 * ms, Deadline: time.Second}}
+	for name, c := range map[string]struct {
+		tell  func(o *Outlook)
+		at    time.Duration
+		order []int
+		open  int
+	}{
+		"nothing is known":                         {func(*Outlook) {}, 0, []int{0, 1, 2}, 3},
+		"the account's own, while not much longer": {func(o *Outlook) { o.Told(0, "own", "g", us(0, clearlyLonger), nil) }, 0, []int{0, 1, 2}, 3},
+		"the better of two alike":                  {func(o *Outlook) { o.Told(0, "own", "g", us(0, 100*ms), nil) }, 0, []int{1, 0, 2}, 3},
+		"not a far one while the own has room": {func(o *Outlook) {
+			o.Told(0, "own", "g", us(0, 100*ms), nil)
+			o.Told(0, "alike", "g", us(0, 100*ms), nil)
+		}, 0, []int{0, 1, 2}, 3},
+		"a far one when the others would refuse": {func(o *Outlook) { o.Told(0, "own", "g", us(300*ms), nil); o.Told(0, "alike", "g", us(300*ms), nil) }, 0, []int{2, 0, 1}, 1},
+		"what was told has drained since":        {func(o *Outlook) { o.Told(0, "own", "g", us(300*ms), nil) }, 300 * ms, []int{0, 1, 2}, 3},
+		"other priorities wait":                  {func(o *Outlook) { o.Told(0, "own", "g", us(0, 0, time.Second), nil) }, 0, []int{0, 1, 2}, 3},
+		"other work waits":                       {func(o *Outlook) { o.Told(0, "own", "g", nil, us(time.Second)) }, 0, []int{0, 1, 2}, 3},
+		"another group waits":                    {func(o *Outlook) { o.Told(0, "own", "other", us(time.Second), nil) }, 0, []int{0, 1, 2}, 3},
+		"the queue has ended":                    {func(o *Outlook) { o.Told(0, "own", "g", us(time.Second), nil); o.Told(1, "own", "g", nil, nil) }, 1, []int{0, 1, 2}, 3},
+		"the carrier is gone":                    {func(o *Outlook) { o.Told(0, "own", "g", us(time.Second), nil); o.Lost("own") }, 0, []int{0, 1, 2}, 3},
+		"it tells nonsense":                      {func(o *Outlook) { o.Told(0, "own", "g", []uint32{math.MaxUint32}, nil) }, 0, []int{0, 1, 2}, 3},
+		"it tells of too many priorities":        {func(o *Outlook) { o.Told(0, "own", "g", make([]uint32, maxTold+1), []uint32{1e6}) }, 0, []int{0, 1, 2}, 3},
+		"the clock went back":                    {func(o *Outlook) { o.Told(time.Hour, "own", "g", us(time.Second), nil) }, 0, []int{0, 1, 2}, 3},
+	} {
+		var o Outlook
+		c.tell(&o)
+		choice := o.Choose(c.at, q, three)
+		must.Eq(t, c.order, choice.Order, must.Sprint(name))
+		must.Eq(t, c.open, choice.Open, must.Sprint(name))
+		must.True(t, choice.Verdict.Admit, must.Sprint(name))
+	}
+}
+
+// All carriers of a group have more than they can run: the entry refuses, but for one
+// request now and then, and tells to come back when the shortest queue has drained.
+func TestRefusedAtTheDoor(t *testing.T) {
+	var o Outlook
+	both := []Carrier{{Name: "a"}, {Name: "b"}}
+	q := Query{Group: "g", Request: Request{ID: "x", Objective: 200 * ms, Deadline: time.Second}}
+	o.Told(0, "a", "g", us(900*ms), nil)
+	o.Told(0, "b", "g", us(700*ms), nil)
+	passed := 0
+	for now := time.Duration(0); now < 500*ms; now += ms {
+		c := o.Choose(now, q, both)
+		must.Zero(t, c.Open)
+		if c.Verdict.Admit {
+			passed++
+			continue
+		}
+		must.Eq(t, AllRefuse, c.Verdict.Reason)
+		must.Eq(t, 700*ms-now, c.Verdict.Wait)
+		must.Eq(t, now, c.Age)
+		must.Between(t, c.Verdict.Wait, c.Verdict.ComeBack, 2*c.Verdict.Wait)
+	}
+	must.Eq(t, int(500*ms/trialPause), passed)
+	must.True(t, o.Choose(500*ms, q, both).Verdict.Admit, must.Sprint("b has drained"))
+	must.True(t, o.Choose(0, q, nil).Verdict.Admit, must.Sprint("without carriers nothing is known"))
+}
+
+func TestWaitsAreToldShort(t *testing.T) {
+	must.SliceEmpty(t, Shorten(nil))
+	must.SliceEmpty(t, Shorten([]time.Duration{0, 0, -1}))
+	must.Eq(t, []uint32{0, 1000}, Shorten([]time.Duration{0, ms, ms, ms}))
+	must.Eq(t, []uint32{10_000_000, 0}, Shorten([]time.Duration{time.Hour, -1}))
+}
+
+// However many carriers and groups there are, memory is bounded.
+func TestOutlookIsBounded(t *testing.T) {
+	var o Outlook
+	for n := range 2 * maxOutlooks {
+		name := time.Duration(n).String()
+		o.Told(0, name, "g", []uint32{1e6}, nil)
+		o.Choose(0, Query{Group: name, Request: Request{}}, []Carrier{{Name: name}})
+	}
+	must.LessEq(t, maxOutlooks, len(o.known))
+	must.LessEq(t, maxOutlooks, len(o.trials))
+}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
@@ -30,23 +31,32 @@
 
 // carry has a first statement run by a carrier.
 func (s *session) carry(_ context.Context, st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
-	why := "no carrier could be asked"
-	for _, carrier := range s.relay.carrierConns.order(carriers, carriersTried) {
-		left := arrived + route.Timeout - s.relay.now()
+	q := s.query(st, route, arrived)
+	ordered := s.relay.carrierConns.order(carriers, carriersTried)
+	choice := s.relay.outlook.choose(s.relay.now(), q, ordered)
+	if !choice.Verdict.Admit {
+		return s.refuseAtDoor(st, route, choice)
+	}
+	why, refusal := "no carrier could be asked", statement.Answer{}
+	for n, index := range choice.Order {
+		carrier, left := ordered[index], arrived+route.Timeout-s.relay.now()
 		if left <= 0 {
 			break
 		}
 		stream, err := s.relay.carrierConns.open(carrier.Address, left)
 		if err != nil {
+			s.relay.outlook.lost(carrier.Address)
 			why = err.Error()
 			continue
 		}
 		reply, err := stream.ask(s.carryRequest(st, arrived), left+carryMargin)
 		switch {
 		case errors.Is(err, errNotTaken):
+			s.relay.outlook.lost(carrier.Address)
 			why = err.Error()
 			continue
 		case err != nil:
+			s.relay.outlook.lost(carrier.Address)
 			s.relay.logLost(s, st, carrier.Name, err)
 			why = err.Error()
 			if s.reads(st) || st.Kind == statement.Begin {
@@ -54,13 +64,33 @@
 			}
 			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
 		}
+		s.relay.outlook.told(s.relay.now(), carrier.Address, route.Group, reply)
+		if n+1 < choice.Open && refusedForWait(reply, q) {
+			stream.release()
+			refusal = decodeReply(reply)
+			continue // it has not run, and the next carrier may have room
+		}
 		return s.settleCarried(st, stream, route, reply)
 	}
+	if refusal.Err != nil {
+		return refusal
+	}
 	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", why)
 	answer.Err.RetryAfter = comeBack
 	return answer
 }
 
+// refusedForWait reports whether a carrier has refused a statement since it would wait for
+// too long there.
+func refusedForWait(reply *relaypb.CarryReply, q admission.Query) bool {
+	if statement.Code(reply.Code) != statement.Busy || statement.State(reply.State) != statement.Idle || reply.AccountEmptyUs > 0 {
+		return false
+	}
+	var o admission.Outlook
+	o.Told(0, "", q.Group, reply.PrimaryWaitUs, reply.ReplicaWaitUs)
+	return o.Choose(0, q, []admission.Carrier{{}}).Open == 0
+}
+
 // continueCarried runs a further statement of a transaction at a carrier.
 func (s *session) continueCarried(st statement.Statement, arrived time.Duration) statement.Answer {
 	tx := s.remote
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -70,11 +70,16 @@
 	if silent := up.silent(now); silent > 0 && up.probing {
 		return admission.DecideOutage(r, silent, admission.Unreachable)
 	}
-	backlog.Slowdown = up.window.Slowdown()
-	if backlog.Paused = backlog.Paused - now; backlog.Paused > 0 {
-		backlog.Slowdown = max(1, backlog.Slowdown) / up.window.Share() // it works for this instance for a share of the time
+	return up.levels[level].Decide(now, r, up.slowed(now, backlog))
+}
+
+// slowed returns a backlog with how slow the member is. The caller holds mu.
+func (up *upstream) slowed(now time.Duration, b admission.Backlog) admission.Backlog {
+	b.Slowdown = up.window.Slowdown()
+	if b.Paused -= now; b.Paused > 0 {
+		b.Slowdown = max(1, b.Slowdown) / up.window.Share() // it works for this instance for a share of the time
 	}
-	return up.levels[level].Decide(now, r, backlog)
+	return b
 }
 
 func (up *upstream) backlog(level int) admission.Backlog {
--- a/internal/relay/outage.go
+++ b/internal/relay/outage.go
@@ -35,6 +35,14 @@
 	return o.learned.Left(lost, o.change)
 }
 
+// outageLeft returns for how much longer the group, which has no primary, is expected to have none.
+func (g *groupState) outageLeft(gate *lead.Gate) time.Duration {
+	record, _ := gate.Record()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.outages.learned.Left(gate.LostFor(), record.Change != nil)
+}
+
 // noteAuthority notes that the group has a primary.
 func (g *groupState) noteAuthority(now time.Duration) {
 	g.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,6 +31,7 @@
 
 	carriers     atomic.Pointer[map[string]Carriers] // by group
 	carrierConns *carrierConns
+	outlook      outlook     // on the waits at the carriers
 	carrying     atomic.Bool // statements of other instances may be run here
 
 	mu    sync.Mutex // guards gates
@@ -139,7 +140,7 @@
 	if a.decided && !a.verdict.Admit {
 		reason = a.verdict.Reason.String()
 	}
-	r.set.GetOrCreateCounter(`stackspindle_refusals_total{reason="` + reason + `",priority="` + priorityNames[a.level()] + `"}`).Inc()
+	r.countRefusal(reason, a.level())
 	if leftOut, ok := r.sampler.Allow("refusal" + reason + a.route.Group); ok {
 		r.log.WithFields(logrus.Fields{
 			"request": a.st.ID, "group": a.route.Group, "member": a.lastMember, "priority": a.route.Priority, "reason": reason,
@@ -149,6 +150,10 @@
 	}
 }
 
+func (r *Relay) countRefusal(reason string, level int) {
+	r.set.GetOrCreateCounter(`stackspindle_refusals_total{reason="` + reason + `",priority="` + priorityNames[level] + `"}`).Inc()
+}
+
 // consistencyNames name the kinds of routes in logs and metrics.
 var consistencyNames = map[topology.Consistency]string{
 	topology.Strict: "strict", topology.BoundedStaleness: "bounded", topology.ReadYourWrites: "own_writes",
--- a/internal/relay/samples.go
+++ b/internal/relay/samples.go
@@ -18,7 +18,8 @@
 
 // groupState is what the instance has seen of one group.
 type groupState struct {
-	name string
+	name     string
+	forecast forecast
 
 	mu       sync.Mutex // guards the rest
 	term     uint64
