--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -8,7 +8,9 @@
 	Work   time.Duration // that these are expected to take
 	Active int           // requests that hold a connection and are not parked
 	Slots  int           // how many may be active at once, with the connections that parked ones leave
-	Held   time.Duration // usual time for which a connection is in use, 0: not known
+	// Flexible is how many of the slots are for requests that could run elsewhere.
+	Flexible int
+	Held     time.Duration // usual time for which a connection is in use, 0: not known
 	// PausedUntil is until when requests of the priority are held, 0: they are not.
 	PausedUntil time.Duration
 }
@@ -20,6 +22,7 @@
 	if q.cfg.MaxActive > 0 {
 		b.Slots = min(b.Slots, q.cfg.MaxActive)
 	}
+	b.Flexible = q.flexibleSlots(b.Slots)
 	for level, until := range q.pauses {
 		if level <= priority {
 			b.PausedUntil = max(b.PausedUntil, until)
@@ -40,8 +43,8 @@
 type Waiting struct {
 	Priority int
 	Now      int
-	Overtook uint64 // granted before others that had come earlier
-	Overdue  uint64 // granted before higher priorities, since none had been for too long
+	Overtook int // granted before others that had come earlier, in all
+	Overdue  int // granted since none had been for too long, in all
 }
 
 // Waits returns what is known of each priority, the highest first.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -26,10 +26,15 @@
 		a.why = "no replica is known to be fresh enough"
 		return a.tryPrimary(a.holdUntil())
 	}
-	order := routing.Order(a.candidates(), required, a.group.age(a.now(), required))
+	age := a.group.age(a.now(), required)
+	order := routing.Order(a.candidates(), required, age)
+	if routing.Await(order, required, age, a.arrived+a.route.LatencyObjective-a.now()-retryPause) {
+		a.why = "a replica is about to hold what the read must see"
+		return statement.Answer{}, noRoom
+	}
 	if a.tries > 0 || len(order) == 1 {
 		a.tries++
-		return a.waitAtBest(order, required)
+		return a.waitAtBest(order, required, age)
 	}
 	last := noRoom
 	for i, c := range order {
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -20,13 +20,8 @@
 	stayTimes = 2
 	// comeBack is the advice of a refusal when nothing better is known.
 	comeBack = 50 * time.Millisecond
-	// lowestPriority is the last priority that is told apart; what ranks lower counts the same.
-	lowestPriority = 4
 )
 
-// priorityNames name the priorities in metrics.
-var priorityNames = [lowestPriority + 1]string{"0", "1", "2", "3", "4"}
-
 // obstacle is why a member could not be asked, other than that it is full.
 type obstacle struct {
 	reason admission.Reason
@@ -59,12 +54,20 @@
 	}
 }
 
-// level returns the rank of the statement among all priorities that are told apart.
+// level returns the priority of the statement among those that are told apart.
 func (a *attempt) level() int { return min(max(a.route.Priority, 0), lowestPriority) }
 
+// work returns what the statement needs.
+func (a *attempt) work() admission.Work {
+	if a.needsPrimary() {
+		return admission.OnPrimary
+	}
+	return admission.OnReplica
+}
+
 // decide returns whether the wait for a member is worth it.
-func (up *upstream) decide(now time.Duration, level int, r admission.Request) admission.Verdict {
-	backlog := up.backlog(level)
+func (up *upstream) decide(now time.Duration, level int, r admission.Request, work admission.Work) admission.Verdict {
+	backlog := up.backlog(level, work)
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	if silent := up.silent(now); silent > 0 && up.probing {
@@ -82,8 +85,11 @@
 	return b
 }
 
-func (up *upstream) backlog(level int) admission.Backlog {
+func (up *upstream) backlog(level int, work admission.Work) admission.Backlog {
 	b := up.pool.Backlog(level)
+	if work == admission.OnReplica {
+		b.Slots = b.Flexible
+	}
 	return admission.Backlog{Ahead: b.Ahead, Work: b.Work, Active: b.Active, Slots: b.Slots, Held: b.Held, Paused: b.PausedUntil}
 }
 
@@ -93,7 +99,7 @@
 	if a.decided || waitUntil <= a.now() {
 		return true
 	}
-	a.verdict, a.decided = up.decide(a.now(), a.level(), a.request()), true
+	a.verdict, a.decided = up.decide(a.now(), a.level(), a.request(), a.work()), true
 	a.predicted = a.verdict.Predicted
 	if !a.verdict.Admit {
 		a.lastMember, a.why = up.id, "member "+up.id+": what waits there already takes longer than the statement can wait"
@@ -102,12 +108,12 @@
 }
 
 // waitAtBest has a read wait for the member at which it is expected to run first.
-func (a *attempt) waitAtBest(order []routing.Candidate, required group.Position) (statement.Answer, outcome) {
+func (a *attempt) waitAtBest(order []routing.Candidate, required group.Position, age time.Duration) (statement.Answer, outcome) {
 	if len(order) == 0 {
 		a.why = "no member is known that could serve it"
 		return statement.Answer{}, noRoom
 	}
-	best, verdict := a.best(order, required)
+	best, verdict := a.best(order, required, age)
 	if !a.decided {
 		a.verdict, a.decided = verdict, true
 	}
@@ -122,16 +128,15 @@
 
 // best returns the member at which a read is expected to run first, of those that are
 // fit to serve it where there are such. The first of equals is the one that routing prefers.
-func (a *attempt) best(order []routing.Candidate, required group.Position) (routing.Candidate, admission.Verdict) {
+func (a *attempt) best(order []routing.Candidate, required group.Position, age time.Duration) (routing.Candidate, admission.Verdict) {
 	now, request := a.now(), a.request()
-	age := a.group.age(now, required)
 	best, verdict := order[0], admission.Verdict{Admit: true}
 	for i, c := range order {
 		up := a.s.relay.upstreams.get(c.ID)
 		if up == nil || i > 0 && !c.Fit(required, age) {
 			continue
 		}
-		if v := up.decide(now, a.level(), request); i == 0 || v.Wait < verdict.Wait {
+		if v := up.decide(now, a.level(), request, a.work()); i == 0 || v.Wait < verdict.Wait {
 			best, verdict = c, v
 		}
 	}
@@ -236,7 +241,7 @@
 		return admission.ComeBackAfter(a.request(), a.obstacle.left)
 	}
 	if up := a.s.relay.upstreams.get(a.lastMember); up != nil {
-		if v := up.decide(a.now(), a.level(), a.request()); v.Wait > 0 {
+		if v := up.decide(a.now(), a.level(), a.request(), a.work()); v.Wait > 0 {
 			return admission.ComeBack(a.request(), v.Wait, 0)
 		}
 	}
--- a/internal/relay/outlook.go
+++ b/internal/relay/outlook.go
@@ -59,10 +59,10 @@
 			continue
 		}
 		for level := range onReplica {
-			wait := up.wait(now, level)
 			if m.ID == leader {
-				onPrimary[level] = wait
+				onPrimary[level] = up.wait(now, level, admission.OnPrimary)
 			}
+			wait := up.wait(now, level, admission.OnReplica)
 			if first || wait < onReplica[level] {
 				onReplica[level] = wait
 			}
@@ -79,8 +79,8 @@
 }
 
 // wait returns how long a statement of a priority would wait for the member.
-func (up *upstream) wait(now time.Duration, level int) time.Duration {
-	backlog := up.backlog(level)
+func (up *upstream) wait(now time.Duration, level int, work admission.Work) time.Duration {
+	backlog := up.backlog(level, work)
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	if silent := up.silent(now); silent > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,7 +152,7 @@
 }
 
 func (r *Relay) countRefusal(reason string, level int) {
-	r.set.GetOrCreateCounter(`stackspindle_refusals_total{reason="` + reason + `",priority="` + priorityNames[level] + `"}`).Inc()
+	r.set.GetOrCreateCounter(`stackspindle_refusals_total{reason="` + reason + `",priority="` + strconv.Itoa(level) + `"}`).Inc()
 }
 
 // consistencyNames name the kinds of routes in logs and metrics.
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -30,13 +30,16 @@
 	dialTimeout     = 400 * time.Millisecond // the handshake may wait behind a full queue of the member
 	minDialBackoff  = 50 * time.Millisecond  // refused connections are priced like served ones
 	maxDialBackoff  = 400 * time.Millisecond
-	maxQueue        = 64 // requests of one route that wait for a connection of one member
+	maxQueue        = 64 // requests of one account and priority that wait for a connection of one member
+	activePerSlot   = 2  // statements that may be at a member for each that it runs
 
-	// unusedFor is after what time a connection that nobody has used is closed, but
-	// for one. So a member keeps room for the connections of instances that have
-	// just started, while those of dead ones take up to 3 s to go.
+	// unusedFor is after what time a connection that nobody has used is closed, but for the
+	// part that an instance keeps of those that it may use, at least one. A connection serves its
+	// account only: the longer it stays, the more often the account finds it. The rest is closed
+	// so that a member has room for instances that have just started, while the
+	// connections of dead ones take their time to go.
 	unusedFor = 600 * time.Millisecond
-	keepOpen  = 1
+	keepPart  = 2 // one in so many
 	// ShrinkInterval is the pause between two looks for such.
 	ShrinkInterval = unusedFor / 3
 	// patience is how long a request waits for a connection in use before another
@@ -83,7 +86,8 @@
 		}
 		if carriers, ok := placed[m.Group]; ok {
 			up.pool.SetCapacity(carriers.Connections(m.DataCentre, dataCentre))
-			up.pool.SetMaxActive(carriers.Active(m.Slots, m.DataCentre, dataCentre))
+			active := carriers.Active(m.Slots, m.DataCentre, dataCentre)
+			up.pool.SetMaxActive(active, max(1, active/activePerSlot))
 		}
 		carriers, known := placed[m.Group]
 		up.mu.Lock()
@@ -214,7 +218,9 @@
 		if recent == (tally{}) {
 			continue
 		}
+		waits := newWaits(up.pool.Waits())
 		log.WithFields(logrus.Fields{
+			"waiting_by_priority": waits.numbers(waitingNow), "overtook": waits.numbers(overtook), "overdue": waits.numbers(overdue),
 			"group": up.group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
@@ -232,6 +238,7 @@
 		metrics.WriteGaugeUint64(w, "stackspindle_member_connections"+labels, uint64(up.pool.Open()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_in_use"+labels, uint64(up.pool.InUse()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_waiting"+labels, uint64(up.pool.Waiting()))
+		newWaits(up.pool.Waits()).write(w, up.group, id)
 	}
 }
 
@@ -242,7 +249,7 @@
 	defer u.mu.Unlock()
 	for _, up := range u.members {
 		if up.isCarried() {
-			up.pool.Shrink(unusedFor, keepOpen)
+			up.pool.Shrink(unusedFor, max(1, up.pool.Capacity()/keepPart))
 		} else {
 			up.pool.DropIdle()
 		}
