--- a/internal/pool/order_test.go
+++ b/internal/pool/order_test.go
@@ -182,8 +182,8 @@
 		r.ID, r.Deadline = uint64(i+1), time.Hour
 		must.Eq(t, Queued, q.Offer(0, r))
 	}
-	must.Eq(t, Backlog{Ahead: 1, Work: 5 * ms, Active: 2, Slots: 2, Held: 20 * ms}, q.Backlog(0))
-	must.Eq(t, Backlog{Ahead: 3, Work: 32 * ms, Active: 2, Slots: 2, Held: 20 * ms}, q.Backlog(1), must.Sprint("unknown work counts as usual"))
+	must.Eq(t, Backlog{Ahead: 1, Work: 5 * ms, Active: 2, Slots: 2, Flexible: 2, Held: 20 * ms}, q.Backlog(0))
+	must.Eq(t, Backlog{Ahead: 3, Work: 32 * ms, Active: 2, Slots: 2, Flexible: 2, Held: 20 * ms}, q.Backlog(1), must.Sprint("unknown work counts as usual"))
 	q.Park(running[0])
 	must.Eq(t, 1, q.Backlog(1).Active)
 }
@@ -217,3 +217,19 @@
 	granted, _ = q.Next(10 * demandHalfLife)
 	must.Len(t, 1, granted, must.Sprint("nobody has wanted the reserve for long"))
 }
+
+// The load: work that only this member can run comes, while transactions rest. A new
+// request that could run elsewhere finds the slots that both leave, and the pause that holds it.
+func TestBacklogTellsWhatIsLeft(t *testing.T) {
+	q := New(Config{Capacity: 4, MaxActive: 3, MaxQueue: 10})
+	must.Eq(t, Granted, q.Offer(0, Request{ID: 1, Work: ms, Deadline: time.Second}))
+	must.Eq(t, Granted, q.Offer(0, Request{ID: 2, Work: ms, Deadline: time.Second}))
+	q.Park(Request{ID: 2})
+	q.Pause(1, 30*ms)
+	b := q.Backlog(1)
+	must.Eq(t, 1, b.Active)
+	must.Eq(t, 3, b.Slots)
+	must.Eq(t, 2, b.Flexible, must.Sprint("one more was active a moment ago"))
+	must.Eq(t, 30*ms, b.PausedUntil)
+	must.Zero(t, q.Backlog(0).PausedUntil)
+}
