--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,7 +18,7 @@
 	Slots  int           // requests that may run at once
 	Held   time.Duration // mean time for which a request runs; 0: not known
 	// Slowdown is how many times its usual time a request takes at the member now,
-	// since others run beside it or wait there; below 1: not known.
+	// since others run beside it or wait there; 0: not known.
 	Slowdown float64
 	Paused   time.Duration // for which nothing of its priority is granted
 }
@@ -93,8 +93,8 @@
 	work := bounded(b.Work)
 	slowdown := b.Slowdown
 	switch {
-	case slowdown >= 1 && (work > 0 || ahead == 0):
-		slowdown = min(slowdown, maxSlowdown)
+	case slowdown > 0 && (work > 0 || ahead == 0):
+		slowdown = min(max(slowdown, 1), maxSlowdown)
 	case held > 0:
 		work, slowdown = time.Duration(ahead)*held, 1
 	default:
--- a/internal/admission/outlook.go
+++ b/internal/admission/outlook.go
@@ -96,12 +96,8 @@
 	if !ok || now < t.at || q.Work < 0 || q.Work >= works {
 		return 0, 0
 	}
-	waits := t.waits[q.Work]
-	if len(waits) == 0 {
-		return 0, 0
-	}
 	age = now - t.at
-	return max(0, waits[min(max(q.Priority, 0), len(waits)-1)]-age), age
+	return max(0, q.of(t.waits[q.Work])-age), age
 }
 
 // Query is a request that is to be passed on.
@@ -112,56 +108,85 @@
 	Request
 }
 
+// of returns the wait of a request among those that are told by priority.
+func (q Query) of(waits []time.Duration) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	return waits[min(max(q.Priority, 0), len(waits)-1)]
+}
+
+// WouldWait reports whether a carrier that tells such waits would refuse the request.
+func (q Query) WouldWait(primary, replica []uint32) bool {
+	told := primary
+	if q.Work == OnReplica {
+		told = replica
+	}
+	return q.of(believed(told)) > max(0, q.Objective)
+}
+
 // Carrier is an instance that may run a request. Those of equal Rank are alike to placement.
 type Carrier struct {
 	Name string
 	Rank int
 }
 
+// maxChoice is how many carriers are compared; those beyond are not asked.
+const maxChoice = 8
+
 // Choice is the order in which carriers are to be asked.
 type Choice struct {
-	Order []int // indexes of the carriers, best first; those that would refuse come last
-	Open  int   // how many of them are not known to refuse
+	order [maxChoice]int
+	Len   int // carriers to be asked
+	Open  int // how many of them are not known to refuse
 	// Verdict refuses the request when all of them would refuse it.
 	Verdict Verdict
 	Age     time.Duration // of the knowledge on which a refusal rests
 }
 
+// At returns the index of the carrier that is to be asked as the i-th, from 0 on. Those
+// that would refuse come last.
+func (c *Choice) At(i int) int { return c.order[i] }
+
 // Choose returns the order in which carriers are asked, which are given as placement
 // orders them. Where nothing is known that is the order of placement.
 func (o *Outlook) Choose(now time.Duration, q Query, carriers []Carrier) Choice {
-	c := Choice{Verdict: Verdict{Admit: true}}
-	var refusing []int
-	var shortest time.Duration
+	carriers = carriers[:min(len(carriers), maxChoice)]
+	c := Choice{Len: len(carriers), Verdict: Verdict{Admit: true}}
+	var waits, ages [maxChoice]time.Duration
 	for i, carrier := range carriers {
-		wait, age := o.wait(now, carrier.Name, q)
-		if wait == 0 || wait <= q.Objective {
-			c.Order = append(c.Order, i)
+		waits[i], ages[i] = o.wait(now, carrier.Name, q)
+		if waits[i] <= max(0, q.Objective) {
+			c.order[c.Open] = i
+			c.Open++
+		}
+	}
+	o.preferShorter(carriers, waits[:], c.order[:c.Open])
+	shortest, last := -1, c.Open
+	for i := range carriers {
+		if waits[i] <= max(0, q.Objective) {
 			continue
 		}
-		if len(refusing) == 0 || wait < shortest {
-			shortest, c.Age = wait, age
+		c.order[last] = i
+		last++
+		if shortest < 0 || waits[i] < waits[shortest] {
+			shortest = i
 		}
-		refusing = append(refusing, i)
 	}
-	c.Open = len(c.Order)
-	o.preferShorter(now, q, carriers, c.Order)
-	c.Order = append(c.Order, refusing...)
-	if c.Open == 0 && len(carriers) > 0 && !o.tries(now, q) {
-		c.Verdict = Verdict{Wait: shortest, Reason: AllRefuse, ComeBack: ComeBack(q.Request, shortest, 0)}
+	if c.Open == 0 && shortest >= 0 && !o.tries(now, q) {
+		c.Verdict = Verdict{Wait: waits[shortest], Reason: AllRefuse, ComeBack: ComeBack(q.Request, waits[shortest], 0)}
+		c.Age = ages[shortest]
 	}
 	return c
 }
 
 // preferShorter exchanges the first two carriers when placement ranks them alike and the
 // second one's wait is clearly shorter.
-func (o *Outlook) preferShorter(now time.Duration, q Query, carriers []Carrier, order []int) {
+func (o *Outlook) preferShorter(carriers []Carrier, waits []time.Duration, order []int) {
 	if len(order) < 2 || carriers[order[0]].Rank != carriers[order[1]].Rank {
 		return
 	}
-	first, _ := o.wait(now, carriers[order[0]].Name, q)
-	second, _ := o.wait(now, carriers[order[1]].Name, q)
-	if first > second+clearlyLonger {
+	if waits[order[0]] > waits[order[1]]+clearlyLonger {
 		order[0], order[1] = order[1], order[0]
 	}
 }
--- a/internal/admission/outlook_test.go
+++ b/internal/admission/outlook_test.go
@@ -41,7 +41,10 @@
 		var o Outlook
 		c.tell(&o)
 		choice := o.Choose(c.at, q, three)
-		must.Eq(t, c.order, choice.Order, must.Sprint(name))
+		for i, index := range c.order {
+			must.Eq(t, index, choice.At(i), must.Sprint(name))
+		}
+		must.Eq(t, len(c.order), choice.Len)
 		must.Eq(t, c.open, choice.Open, must.Sprint(name))
 		must.True(t, choice.Verdict.Admit, must.Sprint(name))
 	}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -38,8 +38,8 @@
 		return s.refuseAtDoor(st, route, choice)
 	}
 	why, refusal := "no carrier could be asked", statement.Answer{}
-	for n, index := range choice.Order {
-		carrier, left := ordered[index], arrived+route.Timeout-s.relay.now()
+	for n := range choice.Len {
+		carrier, left := ordered[choice.At(n)], arrived+route.Timeout-s.relay.now()
 		if left <= 0 {
 			break
 		}
@@ -83,12 +83,8 @@
 // refusedForWait reports whether a carrier has refused a statement since it would wait for
 // too long there.
 func refusedForWait(reply *relaypb.CarryReply, q admission.Query) bool {
-	if statement.Code(reply.Code) != statement.Busy || statement.State(reply.State) != statement.Idle || reply.AccountEmptyUs > 0 {
-		return false
-	}
-	var o admission.Outlook
-	o.Told(0, "", q.Group, reply.PrimaryWaitUs, reply.ReplicaWaitUs)
-	return o.Choose(0, q, []admission.Carrier{{}}).Open == 0
+	busy := statement.Code(reply.Code) == statement.Busy && statement.State(reply.State) == statement.Idle
+	return busy && reply.AccountEmptyUs <= 0 && q.WouldWait(reply.PrimaryWaitUs, reply.ReplicaWaitUs)
 }
 
 // continueCarried runs a further statement of a transaction at a carrier.
