--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -19,12 +19,12 @@
 // round offers the statement to each member that may serve it, once.
 func (a *attempt) round() (statement.Answer, outcome) {
 	if a.needsPrimary() {
-		return a.tryPrimary(a.holdUntil())
+		return a.waitForPrimary()
 	}
 	required, ok := a.required()
 	if !ok {
 		a.why = "no replica is known to be fresh enough"
-		return a.tryPrimary(a.holdUntil())
+		return a.waitForPrimary()
 	}
 	age := a.group.age(a.now(), required)
 	order := routing.Order(a.candidates(), required, age)
@@ -120,10 +120,6 @@
 		a.why = "the primary's entry is gone"
 		return statement.Answer{}, noRoom
 	}
-	if !a.admitTo(up, waitUntil) {
-		pass.Done()
-		return statement.Answer{}, noRoom
-	}
 	answer, out := a.tryAt(ctx, target{up: up, pass: pass, breaker: breaker}, waitUntil, a.deadline)
 	if a.s.tx == nil || a.s.tx.pass != pass {
 		pass.Done()
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -28,12 +28,11 @@
 	left   time.Duration // for which it is expected to last
 }
 
-// unreachable is the obstacle of a member to which no connection can be had. It is expected
-// to last as long again as the member has not answered.
+// unreachable is the obstacle of a member to which no connection can be had.
 func unreachable(up *upstream, now time.Duration) *obstacle {
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	return &obstacle{reason: admission.Unreachable, left: up.silent(now)}
+	return &obstacle{reason: admission.Unreachable, left: admission.Silence(up.silent(now))}
 }
 
 // silent returns for how long the member has not answered although it was asked. The
@@ -71,7 +70,7 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	if silent := up.silent(now); silent > 0 && up.probing {
-		return admission.DecideOutage(r, silent, admission.Unreachable)
+		return admission.DecideOutage(r, admission.Silence(silent), admission.Unreachable)
 	}
 	return up.levels[level].Decide(now, r, up.slowed(now, backlog))
 }
@@ -93,18 +92,20 @@
 	return admission.Backlog{Ahead: b.Ahead, Work: b.Work, Active: b.Active, Slots: b.Slots, Held: b.Held, Paused: b.PausedUntil}
 }
 
-// admitTo reports whether the statement may wait for a member. One that was admitted once
-// stays so.
-func (a *attempt) admitTo(up *upstream, waitUntil time.Duration) bool {
-	if a.decided || waitUntil <= a.now() {
-		return true
+// waitForPrimary has the statement wait for the primary if that is worth it. A statement that
+// was admitted once stays so.
+func (a *attempt) waitForPrimary() (statement.Answer, outcome) {
+	if authority, err := a.gate.Authority(); err == nil && !a.decided {
+		if up := a.s.relay.upstreams.get(authority.Primary); up != nil {
+			a.verdict, a.decided = up.decide(a.now(), a.level(), a.request(), a.work()), true
+			a.lastMember, a.predicted = up.id, a.verdict.Predicted
+		}
 	}
-	a.verdict, a.decided = up.decide(a.now(), a.level(), a.request(), a.work()), true
-	a.predicted = a.verdict.Predicted
-	if !a.verdict.Admit {
-		a.lastMember, a.why = up.id, "member "+up.id+": what waits there already takes longer than the statement can wait"
+	if a.decided && !a.verdict.Admit {
+		a.why = "what waits for the primary already takes longer than the statement can wait"
+		return statement.Answer{}, noRoom
 	}
-	return a.verdict.Admit
+	return a.tryPrimary(a.holdUntil())
 }
 
 // waitAtBest has a read wait for the member at which it is expected to run first.
--- a/internal/relay/outlook.go
+++ b/internal/relay/outlook.go
@@ -84,7 +84,7 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	if silent := up.silent(now); silent > 0 {
-		return silent
+		return admission.Silence(silent)
 	}
 	_, wait := up.levels[level].Wait(now, up.slowed(now, backlog))
 	return wait
