--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -12,11 +12,12 @@
 }
 
 // Wait predicts how long a request waits before it runs: by the backlog alone, and by what
-// others of its priority have waited. The second is at least the time for which nothing
-// of the priority was granted, as where all room goes to requests that rank higher.
+// others of its priority have waited. While these wait, the second is at least the time for
+// which none of them was granted, as where all room goes to requests that rank higher, or
+// the member has stopped answering.
 func (l *Level) Wait(now time.Duration, b Backlog) (predicted, wait time.Duration) {
 	predicted, known := b.Wait()
-	if !known || predicted == 0 {
+	if known && predicted == 0 {
 		return 0, 0
 	}
 	wait = time.Duration(float64(predicted) * l.correction.Factor())
@@ -26,6 +27,9 @@
 	return predicted, min(wait, maxWait)
 }
 
+// Overloaded reports whether a request of the priority was refused a moment ago.
+func (l *Level) Overloaded(now time.Duration) bool { return l.overload.lasts(now) }
+
 // Decide says whether a request is worth its place behind a backlog.
 func (l *Level) Decide(now time.Duration, r Request, b Backlog) Verdict {
 	predicted, wait := l.Wait(now, b)
--- a/internal/admission/overload.go
+++ b/internal/admission/overload.go
@@ -15,9 +15,14 @@
 // Refused notes a refusal and returns for how long there have been such.
 func (o *Overload) Refused(now time.Duration) time.Duration {
 	now = bounded(now)
-	if !o.refusing || now < o.last || now-o.last > overloadGap {
+	if !o.lasts(now) {
 		o.refusing, o.since = true, now
 	}
 	o.last = now
 	return bounded(now - o.since)
 }
+
+// lasts reports whether there was a refusal a moment ago.
+func (o *Overload) lasts(now time.Duration) bool {
+	return o.refusing && now >= o.last && now-o.last <= overloadGap
+}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -198,14 +198,27 @@
 	return a.now()+retryPause < a.holdUntil()
 }
 
-// holdUntil returns until when the statement may be held. One that was admitted is held
-// until it has run, while there is time for it to run; one that waits for what nobody can
-// foresee, for its objective.
+// holdUntil returns until when the statement may be held: for its objective, and beyond that
+// until its deadline is near if it was admitted and its queue is not overloaded. Where
+// others are refused, one that is late takes the room of one that would be in time.
 func (a *attempt) holdUntil() time.Duration {
-	if a.decided && !a.offered && !a.waits {
-		return a.deadline - answerMargin - a.group.usual(kindOf(a.route))
+	objective := min(a.deadline, a.arrived+a.route.LatencyObjective)
+	if !a.decided || a.offered || a.waits || a.now()+retryPause < objective || a.overloaded() {
+		return objective
 	}
-	return min(a.deadline, a.arrived+a.route.LatencyObjective)
+	return a.deadline - answerMargin - a.group.usual(kindOf(a.route))
+}
+
+// overloaded reports whether statements like this one are refused at the member that it
+// waits for.
+func (a *attempt) overloaded() bool {
+	up := a.s.relay.upstreams.get(a.lastMember)
+	if up == nil {
+		return false
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.levels[a.level()].Overloaded(a.now())
 }
 
 // pause waits for a moment, or until the group's primary changes.
