--- a/internal/admission/outlook.go
+++ b/internal/admission/outlook.go
@@ -27,7 +27,7 @@
 const (
 	OnPrimary Work = iota // only the primary can run it
 	OnReplica             // a replica may serve it
-	works
+	Works                 // how many there are
 )
 
 // outlookKey names what a carrier tells.
@@ -36,7 +36,7 @@
 // told is what a carrier has told of one group.
 type told struct {
 	at    time.Duration
-	waits [works][]time.Duration // by priority; empty: there is no wait
+	waits [Works][]time.Duration // by priority; empty: there is no wait
 }
 
 // Outlook is what an entry knows of how long requests wait at the carriers of groups. It is
@@ -60,7 +60,7 @@
 		delete(o.known, key)
 		return
 	}
-	t := told{at: now, waits: [works][]time.Duration{OnPrimary: believed(primary), OnReplica: believed(replica)}}
+	t := told{at: now, waits: [Works][]time.Duration{OnPrimary: believed(primary), OnReplica: believed(replica)}}
 	if o.known == nil || len(o.known) >= maxOutlooks {
 		o.known = make(map[outlookKey]told)
 	}
@@ -93,7 +93,7 @@
 // is. Without knowledge there is no wait.
 func (o *Outlook) wait(now time.Duration, carrier string, q Query) (wait, age time.Duration) {
 	t, ok := o.known[outlookKey{carrier, q.Group}]
-	if !ok || now < t.at || q.Work < 0 || q.Work >= works {
+	if !ok || now < t.at || q.Work < 0 || q.Work >= Works {
 		return 0, 0
 	}
 	age = now - t.at
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -72,7 +72,7 @@
 	if silent := up.silent(now); silent > 0 && up.probing {
 		return admission.DecideOutage(r, admission.Silence(silent), admission.Unreachable)
 	}
-	return up.levels[level].Decide(now, r, up.slowed(now, backlog))
+	return up.levels[work][level].Decide(now, r, up.slowed(now, backlog))
 }
 
 // slowed returns a backlog with how slow the member is. The caller holds mu.
@@ -147,6 +147,7 @@
 // place is a statement's place in the queue before a member.
 type place struct {
 	up        *upstream
+	work      admission.Work
 	level     int
 	since     time.Duration
 	predicted time.Duration
@@ -159,10 +160,10 @@
 	if until <= now {
 		return nil
 	}
-	p := &place{up: up, level: a.level(), since: now, predicted: a.predicted}
+	p := &place{up: up, work: a.work(), level: a.level(), since: now, predicted: a.predicted}
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	up.levels[p.level].Began(now)
+	up.levels[p.work][p.level].Began(now)
 	if !up.probing && up.silent(now) > 0 {
 		p.probe, up.probing = true, true
 	}
@@ -179,7 +180,7 @@
 	if p.probe {
 		p.up.probing = false
 	}
-	p.up.levels[p.level].Ended(now, now-p.since, p.predicted, granted)
+	p.up.levels[p.work][p.level].Ended(now, now-p.since, p.predicted, granted)
 }
 
 // worthHolding reports whether the statement is held for another round.
@@ -218,7 +219,7 @@
 	}
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	return up.levels[a.level()].Overloaded(a.now())
+	return up.levels[a.work()][a.level()].Overloaded(a.now())
 }
 
 // pause waits for a moment, or until the group's primary changes.
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -36,7 +36,7 @@
 	lagSince time.Duration  // when the first of them was
 	recent   tally
 	window   pacing.Window
-	levels   [lowestPriority + 1]admission.Level
+	levels   [admission.Works][lowestPriority + 1]admission.Level
 	probing  bool // a statement is on its way that will show whether the member is there
 }
 
