--- a/internal/relay/samples.go
+++ b/internal/relay/samples.go
@@ -18,13 +18,15 @@
 
 // groupState is what the instance has seen of one group.
 type groupState struct {
-	name string
+	name     string
+	forecast forecast
 
 	mu       sync.Mutex // guards the rest
 	term     uint64
 	samples  *routing.Samples
 	verifier verifier
 	works    map[workKind]*pacing.Work
+	outages  outages
 }
 
 // note takes a sample of the primary's log: everything acknowledged before the
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/member"
@@ -35,6 +36,8 @@
 	lagSince time.Duration  // when the first of them was
 	recent   tally
 	window   pacing.Window
+	levels   [admission.Works][lowestPriority + 1]admission.Level
+	probing  bool // a statement is on its way that will show whether the member is there
 }
 
 // tally is what came of the attempts at a member since the last report.
