--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -50,9 +50,6 @@
 	if reserve == 0 {
 		return slots
 	}
-	if q.cfg.Running > 0 {
-		slots = min(slots, q.cfg.Running)
-	}
 	return slots - max(0, min(reserve, slots-1)-(q.fixed.inUse-q.fixed.parked))
 }
 
