Limits: an account at its limit is refused where its callers are connected

A carrier's refusal now tells for how long the holders have no tokens; the entry refuses further first statements itself until then, passes one on at the end, twice as seldom after each refusal and twice as often after each that found a token. Callers are told times one after the other. The wait for a token is bound by the statement's objective in place of 250 ms.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -25,8 +25,6 @@
 	// askTimeout bounds a question for tokens. A healthy holder answers in 1 to 3 ms; an
 	// operation that waits for one goes on with the next holder after it.
 	askTimeout = 100 * time.Millisecond
-	// waitTimeout bounds how long an operation waits for a token in all.
-	waitTimeout = 250 * time.Millisecond
 	// countedAccounts bounds the accounts that have counters of their own; further ones
 	// share one.
 	countedAccounts = 512
@@ -53,6 +51,7 @@
 	addresses  map[string]string        // of the instances that are alive
 	questions  map[string]chan struct{} // under way, by account; closed at their end
 	waiting    map[string]int           // operations that wait for a token, by account
+	door       *quota.Door
 }
 
 // Config is what a limiter works with.
@@ -78,6 +77,7 @@
 		holders:   quota.NewHolders(nil),
 		questions: make(map[string]chan struct{}),
 		waiting:   make(map[string]int),
+		door:      quota.NewDoor(),
 	}
 }
 
@@ -112,12 +112,12 @@
 	l.ledger.Settle(at)
 }
 
-// Spend uses a token of an account for one operation. It reports false when the account
-// is at its limit, with after what time a token can be had. In the usual case it waits
-// for nobody.
-func (l *Limiter) Spend(name string) (quota.Token, time.Duration, bool) {
-	if limit, known := l.accounts().Limit(name); name == account.Anonymous || known && limit.Unlimited {
-		return quota.Token{}, 0, true
+// Spend uses a token of an account for one operation, which waits for one no longer than
+// its patience, and not at all once ctx has ended. It reports false when there is none. In
+// the usual case it waits for nobody.
+func (l *Limiter) Spend(ctx context.Context, name string, patience time.Duration) (quota.Token, quota.Shortage, bool) {
+	if !l.isLimited(name) {
+		return quota.Token{}, quota.Shortage{}, true
 	}
 	var deadline <-chan time.Time
 	for waits := false; ; waits = true {
@@ -125,13 +125,13 @@
 		switch decision.Verdict {
 		case quota.Run:
 			l.counters.note(name, "run")
-			return decision.Token, 0, true
+			return decision.Token, quota.Shortage{}, true
 		case quota.Refuse:
 			l.counters.note(name, "refused")
-			return quota.Token{}, decision.ComeBack, false
+			return quota.Token{}, decision.Shortage, false
 		}
 		if deadline == nil {
-			timer := time.NewTimer(waitTimeout)
+			timer := time.NewTimer(patience)
 			defer timer.Stop()
 			deadline = timer.C
 		}
@@ -139,11 +139,20 @@
 		case <-asked:
 		case <-deadline:
 			l.giveUp(name)
-			return quota.Token{}, waitTimeout, false
+			return quota.Token{}, quota.Shortage{ComeBack: askTimeout}, false
+		case <-ctx.Done():
+			l.giveUp(name)
+			return quota.Token{}, quota.Shortage{ComeBack: askTimeout}, false
 		}
 	}
 }
 
+// isLimited reports whether operations of an account need tokens.
+func (l *Limiter) isLimited(name string) bool {
+	limit, known := l.accounts().Limit(name)
+	return name != account.Anonymous && !(known && limit.Unlimited)
+}
+
 // Return gives back the token of an operation that has not run.
 func (l *Limiter) Return(name string, t quota.Token) {
 	l.mu.Lock()
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -24,6 +24,8 @@
 
 var rules = quota.Rules{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
 
+const generous = time.Minute // a bound that no test reaches
+
 // fleet is some limiters that reach one another over loopback, on one clock that stands
 // still unless it is moved.
 type fleet struct {
@@ -85,11 +87,11 @@
 	for _, l := range f.limiters {
 		work.Go(func() {
 			for range 100 {
-				if _, comeBack, ok := l.Spend("a"); ok {
+				if _, shortage, ok := l.Spend(t.Context(), "a", generous); ok {
 					ran.Add(1)
 				} else {
 					refused.Add(1)
-					if comeBack <= 0 {
+					if shortage.ComeBack <= 0 {
 						t.Error("a refusal without when to come back")
 					}
 				}
@@ -107,7 +109,7 @@
 	f := newFleet(t, 1, account.Limit{Rate: 1})
 	f.servers[0].Stop()
 	for _, name := range []string{"free", account.Anonymous} {
-		_, _, ok := f.limiters[0].Spend(name)
+		_, _, ok := f.limiters[0].Spend(t.Context(), name, generous)
 		must.True(t, ok)
 	}
 }
@@ -118,7 +120,7 @@
 	for _, server := range f.servers[1:4] {
 		server.Stop()
 	}
-	_, _, ok := f.limiters[0].Spend("a")
+	_, _, ok := f.limiters[0].Spend(t.Context(), "a", generous)
 	must.True(t, ok)
 }
 
@@ -128,20 +130,20 @@
 	l := f.limiters[0]
 	var last quota.Token
 	for {
-		token, _, ok := l.Spend("a")
+		token, _, ok := l.Spend(t.Context(), "a", generous)
 		if !ok {
 			break
 		}
 		last = token
 	}
 	l.Return("a", last)
-	_, _, ok := l.Spend("a")
+	_, _, ok := l.Spend(t.Context(), "a", generous)
 	must.True(t, ok)
 }
 
 // An account that nobody knows here gets nothing.
 func TestUnknownAccountIsRefused(t *testing.T) {
 	f := newFleet(t, 2, account.Limit{Rate: 1})
-	_, _, ok := f.limiters[0].Spend("none")
+	_, _, ok := f.limiters[0].Spend(t.Context(), "none", generous)
 	must.False(t, ok)
 }
--- /dev/null
+++ b/internal/quota/door_test.go
@@ -0,0 +1,205 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/stackspindle/stackspindle/internal/account"
+)
+
+func visit(name string) Visit {
+	return Visit{Account: name, Limit: account.Limit{Rate: 20, Burst: 20}, Horizon: time.Minute}
+}
+
+func admitted(d *Door, now time.Duration, v Visit) bool {
+	_, ok := d.Admit(now, v)
+	return ok
+}
+
+// shutDoor returns a door that was told at a second that an account is at its limit.
+func shutDoor(v Visit, empty time.Duration) *Door {
+	d := NewDoor()
+	d.Refused(0, time.Second, v, empty)
+	return d
+}
+
+// While an account has no tokens its operations are refused here; then one goes first,
+// and the others go on once it has found a token.
+func TestDoorPassesOneAtTheEnd(t *testing.T) {
+	v, other := visit("a"), visit("b")
+	const empty = 100 * time.Millisecond
+	d := shutDoor(v, empty)
+	must.False(t, admitted(d, time.Second+empty-1, v))
+	must.True(t, admitted(d, time.Second, other))
+	end := time.Second + empty
+	d = shutDoor(v, empty)
+	must.False(t, admitted(d, end, v), must.Sprint("the turn of the caller that was refused"))
+	end += empty / 2
+	must.True(t, admitted(d, end, v))
+	must.False(t, admitted(d, end, v))
+	must.False(t, admitted(d, end+1, v))
+	d.Ran(end, v)
+	must.True(t, admitted(d, end+2, v))
+	must.True(t, admitted(d, end+2, v))
+}
+
+// An account that asks on and on beyond its limit is passed on more and more seldom.
+func TestDoorSlowsDown(t *testing.T) {
+	v := visit("a")
+	d := NewDoor()
+	passed := 0
+	const pause, length = 10 * time.Millisecond, 20 * time.Second
+	for now := time.Second; now < time.Second+length; now += pause {
+		if admitted(d, now, v) {
+			passed++
+			d.Refused(now, now, v, time.Millisecond)
+		}
+	}
+	must.LessEq(t, int(length/maxShut)+10, passed)
+	must.GreaterEq(t, int(length/maxShut), passed)
+}
+
+// What cannot be is no news: a door that was told so passes all on.
+func TestDoorIgnoresWhatCannotBe(t *testing.T) {
+	v := visit("a")
+	for _, empty := range []time.Duration{0, -1, -1 << 63, maxLife + 1, 1<<63 - 1} {
+		d := NewDoor()
+		must.Zero(t, d.Refused(0, time.Second, v, empty))
+		must.True(t, admitted(d, time.Second, v))
+	}
+	v.Limit.Unlimited = true
+	must.True(t, admitted(shutDoor(visit("a"), time.Second), time.Second, v))
+}
+
+// However many accounts there are, few are remembered, and those that matter no more make
+// room.
+func TestDoorRemembersFewAccounts(t *testing.T) {
+	d := NewDoor()
+	for n := range 2 * doorAccounts {
+		d.Refused(0, time.Second, visit(fmt.Sprint("account-", n)), time.Second)
+	}
+	must.MapLen(t, doorAccounts, d.accounts)
+	later := time.Second + doorMemory + 1
+	d.Refused(later, later, visit("late"), time.Second)
+	must.False(t, admitted(d, later, visit("late")))
+}
+
+// Callers that are refused are told times one after the other, and whoever comes back in
+// its turn goes before one that has just come.
+func TestDoorServesCallersInTurn(t *testing.T) {
+	v := visit("a")
+	const empty = 100 * time.Millisecond
+	d := NewDoor()
+	now := time.Second
+	last := d.Refused(0, now, v, empty)
+	must.Eq(t, empty, last)
+	for range 5 {
+		comeBack, ok := d.Admit(now, v)
+		must.False(t, ok)
+		must.Eq(t, last+empty, comeBack)
+		last = comeBack
+	}
+	now += empty
+	must.False(t, admitted(d, now, v))
+	returning := v
+	returning.Returning = true
+	must.True(t, admitted(d, now, returning))
+	v.Horizon = empty
+	comeBack, ok := d.Admit(now, v)
+	must.False(t, ok)
+	must.Eq(t, empty, comeBack)
+}
+
+// Whatever a door was told, when, and by whom: once no refusal comes any more, it refuses
+// an account for no longer than twice maxShut, with the only operation that it passed on
+// lost on its way; and a refusal says when to come back.
+func TestDoorNeverStaysShut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := NewDoor()
+		v := visit("a")
+		v.Limit.Rate = rapid.SampledFrom([]float64{0, 0.1, 3, 1000}).Draw(t, "rate")
+		v.Horizon = rapid.SampledFrom([]time.Duration{0, time.Millisecond, time.Minute}).Draw(t, "horizon")
+		now, told := time.Second, time.Second
+		for range rapid.IntRange(0, 50).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(2*maxShut)).Draw(t, "pause"))
+			sent := now - time.Duration(rapid.Int64Range(0, int64(maxShut)).Draw(t, "ago"))
+			v.Returning = rapid.Bool().Draw(t, "returning")
+			switch rapid.SampledFrom([]string{"ask", "refused", "ran"}).Draw(t, "what") {
+			case "ask":
+				if comeBack, ok := d.Admit(now, v); !ok {
+					must.Positive(t, comeBack)
+				}
+			case "refused":
+				d.Refused(sent, now, v, time.Duration(rapid.Int64().Draw(t, "empty")))
+				told = now
+			case "ran":
+				d.Ran(sent, v)
+			}
+		}
+		v.Returning = false
+		must.True(t, admitted(d, told+2*maxShut, v))
+		must.True(t, admitted(d, told+2*maxShut, v))
+	})
+}
+
+// fleetDoors plays callers of one account at many entries, each with a door, before one
+// bucket, and returns how many operations ran and how many were passed on.
+func fleetDoors(entries int, rate float64, pause, length time.Duration) (ran, passed int) {
+	doors := make([]*Door, entries)
+	for i := range doors {
+		doors[i] = NewDoor()
+	}
+	v := Visit{Account: "a", Limit: account.Limit{Rate: rate, Burst: rate}, Horizon: time.Second}
+	tokens, step := 0.0, pause/time.Duration(entries)
+	for now, n := time.Second, 0; now < time.Second+length; now, n = now+step, n+1 {
+		tokens = min(tokens+rate*step.Seconds(), holdersPerAccount)
+		door := doors[n%entries]
+		if !admitted(door, now, v) {
+			continue
+		}
+		passed++
+		if tokens >= 1 {
+			tokens--
+			ran++
+			door.Ran(now, v)
+		} else {
+			door.Refused(now, now, v, seconds((1-tokens)/rate))
+		}
+	}
+	return ran, passed
+}
+
+// An account that asks for ten times its limit at many entries gets its limit, and what is
+// passed on in vain is bounded by the entries, not by what it asks for.
+func TestDoorsTogetherGiveTheLimit(t *testing.T) {
+	const length = 20 * time.Second
+	for _, entries := range []int{1, 8, 80} {
+		for _, rate := range []float64{3, 20, 100} {
+			pause := seconds(float64(entries) / (10 * rate))
+			ran, passed := fleetDoors(entries, rate, pause, length)
+			must.GreaterEq(t, 0.9*rate*length.Seconds(), float64(ran), must.Sprintf("entries %d, rate %v: %d ran", entries, rate, ran))
+			most := 4*rate*length.Seconds() + 2*float64(entries)*length.Seconds()
+			must.LessEq(t, most, float64(passed), must.Sprintf("entries %d, rate %v: %d passed on", entries, rate, passed))
+		}
+	}
+}
+
+func BenchmarkDoor(b *testing.B) {
+	for _, accounts := range []int{1, doorAccounts} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			d := NewDoor()
+			for n := range accounts {
+				d.Refused(0, time.Second, visit(fmt.Sprint("account-", n)), time.Second)
+			}
+			v := visit("account-0")
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Admit(time.Second, v)
+			}
+		})
+	}
+}
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -90,10 +90,16 @@
 // Decision is the answer of Take.
 type Decision struct {
 	Verdict  Verdict
-	Token    Token         // with Run: what was used
-	Holder   string        // to be asked: with Ask before the operation, with Run ahead of the next; empty: nobody
-	Wanted   int           // tokens
-	ComeBack time.Duration // with Refuse: after what time one can be had
+	Token    Token    // with Run: what was used
+	Holder   string   // to be asked: with Ask before the operation, with Run ahead of the next; empty: nobody
+	Wanted   int      // tokens
+	Shortage Shortage // with Refuse
+}
+
+// Shortage tells why an account has no token now.
+type Shortage struct {
+	ComeBack time.Duration // after what time one can be had
+	Empty    bool          // the holders said that they have none; false: not all could be asked
 }
 
 // Take uses a token of an account for an operation.
@@ -101,9 +107,9 @@
 	s := m.stock(name)
 	s.expire(now)
 	if len(s.batches) == 0 {
-		holder, comeBack := m.ask(now, name, s)
+		holder, shortage := m.ask(now, name, s)
 		if holder == "" {
-			return Decision{Verdict: Refuse, ComeBack: comeBack}
+			return Decision{Verdict: Refuse, Shortage: shortage}
 		}
 		return Decision{Verdict: Ask, Holder: holder, Wanted: 1 + s.target()}
 	}
@@ -161,16 +167,19 @@
 // ask returns the holder to ask for tokens of an account: this instance itself, then
 // near ones, each instance another one first. Without one that may have some it
 // returns after what time one may.
-func (m *Meter) ask(now time.Duration, name string, s *stock) (string, time.Duration) {
-	best, rank, comeBack := "", 0, awayPause
+func (m *Meter) ask(now time.Duration, name string, s *stock) (string, Shortage) {
+	best, rank, shortage := "", 0, Shortage{ComeBack: awayPause}
 	var score uint64
+	known := true
 	for _, holder := range m.holders.Of(name) {
 		centre, alive := m.centres[holder]
 		if !alive {
 			continue
 		}
 		if until := max(m.away[holder], s.empty[holder]); until > now {
-			comeBack = min(comeBack, until-now)
+			shortage.ComeBack = min(shortage.ComeBack, until-now)
+			shortage.Empty = true
+			known = known && m.away[holder] <= now
 			continue
 		}
 		r, sc := m.distance(holder, centre), ownership.Score(m.self, holder)
@@ -178,7 +187,8 @@
 			best, rank, score = holder, r, sc
 		}
 	}
-	return best, comeBack
+	shortage.Empty = shortage.Empty && known
+	return best, shortage
 }
 
 func (m *Meter) distance(holder, centre string) int {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -165,10 +165,10 @@
 			m.Granted(now, now, "a", refusal.Holder, ledgers[refusal.Holder].Reserve(now, now, "a", limit, refusal.Wanted))
 		}
 	}
-	must.Positive(t, refusal.ComeBack)
-	d := m.Take(now+refusal.ComeBack, "a")
+	must.Positive(t, refusal.Shortage.ComeBack)
+	d := m.Take(now+refusal.Shortage.ComeBack, "a")
 	must.Eq(t, Ask, d.Verdict)
-	must.Positive(t, ledgers[d.Holder].Reserve(now+refusal.ComeBack, now, "a", limit, 1).Tokens)
+	must.Positive(t, ledgers[d.Holder].Reserve(now+refusal.Shortage.ComeBack, now, "a", limit, 1).Tokens)
 }
 
 // A registration that ended while its instance was cut off, and began anew, gives no
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"cmp"
+	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/quota"
+	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -44,24 +48,101 @@
 
 // Limiter keeps client accounts within what they may ask of the whole fleet.
 type Limiter interface {
-	// Spend uses an account's right to one operation. It reports false when there is
-	// none, with after what time there may be one.
-	Spend(account string) (quota.Token, time.Duration, bool)
+	// Spend uses an account's right to one operation, for which it waits no longer than
+	// patience and until ctx ends. It reports false when there is none.
+	Spend(ctx context.Context, account string, patience time.Duration) (quota.Token, quota.Shortage, bool)
 	// Return gives back the right to an operation that has not run.
 	Return(account string, t quota.Token)
+	// Admit reports whether an operation may be passed to a carrier, or after what time its
+	// caller is to come back.
+	Admit(v quota.Visit) (time.Duration, bool)
+	// Refused takes in that an operation, passed on some time ago, was refused since its
+	// account has no rights for a while. It returns when its caller is to come back; 0: not known.
+	Refused(v quota.Visit, ago, empty time.Duration) time.Duration
+	// Ran takes in that an operation, passed on some time ago, was not refused for that.
+	Ran(v quota.Visit, ago time.Duration)
 }
 
-// spend uses an account's right to one operation, or returns the refusal.
-func (r *Relay) spend(account, database string) (quota.Token, *statement.Error) {
-	token, comeBack, ok := r.limiter.Spend(account)
+// tokenShare is the part of its objective for which a statement may wait for the right to
+// run: as long as a caller that is refused then can still be served in time elsewhere.
+const tokenShare = 0.25
+
+// spend uses the account's right to one operation, or returns the refusal.
+func (s *session) spend(ctx context.Context, account string, route topology.Route, arrived time.Duration) (quota.Token, *statement.Error) {
+	r := s.relay
+	patience := arrived + time.Duration(float64(route.LatencyObjective)*tokenShare) - answerMargin - r.now()
+	token, shortage, ok := r.limiter.Spend(ctx, account, patience)
+	s.accountEmpty = 0
 	if ok {
+		s.dueBack = 0
 		return token, nil
 	}
-	if leftOut, ok := r.sampler.Allow("limit" + account); ok {
-		r.log.WithFields(logrus.Fields{"account": account, "database": database, "come_back_ms": comeBack.Milliseconds(), "left_out": leftOut}).
-			Info("relay: an account is at its limit, or those that hold it could not be asked")
+	if shortage.Empty {
+		s.accountEmpty = shortage.ComeBack
+	}
+	comeBack := shortage.ComeBack
+	if !s.carried {
+		comeBack = s.promise(cmp.Or(r.limiter.Refused(s.visit(account, route), 0, s.accountEmpty), comeBack))
+	}
+	r.logAtLimit(limitLine{account: account, database: route.Database, comeBack: comeBack, empty: shortage.Empty})
+	return token, atLimit(comeBack)
+}
+
+func atLimit(comeBack time.Duration) *statement.Error {
+	return &statement.Error{Code: statement.Busy, Detail: "not run: the account is at its limit", RetryAfter: comeBack}
+}
+
+// refuseAtDoor returns the refusal of a statement whose account is known to be at its
+// limit, so that it is not carried for nothing; nil: it may be carried.
+func (s *session) refuseAtDoor(account string, route topology.Route) *statement.Error {
+	comeBack, ok := s.relay.limiter.Admit(s.visit(account, route))
+	if ok {
+		s.dueBack = 0
+		return nil
+	}
+	s.relay.logAtLimit(limitLine{account: account, database: route.Database, comeBack: comeBack, empty: true, atDoor: true})
+	return atLimit(s.promise(comeBack))
+}
+
+// noteCarried takes in what the reply to a carried statement tells of its account, and
+// puts when to come back into its refusal.
+func (s *session) noteCarried(route topology.Route, sent time.Duration, reply *relaypb.CarryReply) {
+	visit, ago := s.visit(s.account, route), s.relay.now()-sent
+	if reply.Code == 0 {
+		s.relay.limiter.Ran(visit, ago)
+		return
+	}
+	empty := time.Duration(min(reply.AccountEmptyUs, math.MaxInt64/int64(time.Microsecond))) * time.Microsecond
+	if comeBack := s.relay.limiter.Refused(visit, ago, empty); comeBack > 0 {
+		reply.RetryAfterUs = s.promise(comeBack).Microseconds()
+	}
+}
+
+func (s *session) visit(account string, route topology.Route) quota.Visit {
+	return quota.Visit{Account: account, Returning: s.dueBack > 0 && s.relay.now() >= s.dueBack, Horizon: route.Timeout}
+}
+
+// promise remembers when the caller was told to come back.
+func (s *session) promise(comeBack time.Duration) time.Duration {
+	s.dueBack = s.relay.now() + comeBack.Truncate(time.Millisecond)
+	return comeBack
+}
+
+// limitLine is what a refusal for a limit rests on.
+type limitLine struct {
+	account, database string
+	comeBack          time.Duration
+	empty             bool // the holders said that they have none
+	atDoor            bool // an earlier refusal told so
+}
+
+func (r *Relay) logAtLimit(l limitLine) {
+	if leftOut, ok := r.sampler.Allow("limit" + l.account); ok {
+		r.log.WithFields(logrus.Fields{
+			"account": l.account, "database": l.database, "come_back_ms": l.comeBack.Milliseconds(),
+			"empty": l.empty, "at_door": l.atDoor, "left_out": leftOut,
+		}).Info("relay: an account is at its limit, or those that hold it could not be asked")
 	}
-	return token, &statement.Error{Code: statement.Busy, Detail: "not run: the account is at its limit", RetryAfter: comeBack}
 }
 
 // admitFirst is admit for the first statement of a session's transaction. Of a carried
--- a/internal/relay/admit_test.go
+++ b/internal/relay/admit_test.go
@@ -143,18 +143,29 @@
 // unlimited is a Limiter that refuses nothing.
 type unlimited struct{}
 
-func (unlimited) Spend(string) (quota.Token, time.Duration, bool) { return quota.Token{}, 0, true }
+func (unlimited) Spend(context.Context, string, time.Duration) (quota.Token, quota.Shortage, bool) {
+	return quota.Token{}, quota.Shortage{}, true
+}
 
 func (unlimited) Return(string, quota.Token) {}
 
+func (unlimited) Admit(quota.Visit) (time.Duration, bool) { return 0, true }
+
+func (unlimited) Refused(quota.Visit, time.Duration, time.Duration) time.Duration { return 0 }
+
+func (unlimited) Ran(quota.Visit, time.Duration) {}
+
 // fixedRights is a Limiter that gives a number of rights.
-type fixedRights struct{ left int }
+type fixedRights struct {
+	unlimited
+	left int
+}
 
 const comeBackLater = 70 * time.Millisecond
 
-func (r *fixedRights) Spend(string) (quota.Token, time.Duration, bool) {
+func (r *fixedRights) Spend(context.Context, string, time.Duration) (quota.Token, quota.Shortage, bool) {
 	r.left--
-	return quota.Token{}, comeBackLater, r.left >= 0
+	return quota.Token{}, quota.Shortage{ComeBack: comeBackLater, Empty: true}, r.left >= 0
 }
 
 func (r *fixedRights) Return(string, quota.Token) { r.left++ }
@@ -234,18 +245,19 @@
 }
 
 // expiring is a Limiter whose first rights have expired when they are used.
-type expiring struct{ expired, spent int }
+type expiring struct {
+	unlimited
+	expired, spent int
+}
 
-func (e *expiring) Spend(string) (quota.Token, time.Duration, bool) {
+func (e *expiring) Spend(context.Context, string, time.Duration) (quota.Token, quota.Shortage, bool) {
 	e.spent++
 	if e.spent <= e.expired {
-		return quota.TokenUntil(1), 0, true
+		return quota.TokenUntil(1), quota.Shortage{}, true
 	}
-	return quota.TokenUntil(time.Hour), 0, true
+	return quota.TokenUntil(time.Hour), quota.Shortage{}, true
 }
 
-func (e *expiring) Return(string, quota.Token) {}
-
 // A statement that has waited for longer than its right lasts needs another one before
 // it is sent, since rights count by when they are used.
 func TestRightThatExpiredIsNotUsed(t *testing.T) {
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -91,7 +91,9 @@
 	s := carried.session
 	answer := s.handle(ctx, c.statement(s, req), c.relay.now()-time.Duration(req.ElapsedUs)*time.Microsecond)
 	carried.await()
-	return encodeReply(answer, s.floor)
+	reply := encodeReply(answer, s.floor)
+	reply.AccountEmptyUs, s.accountEmpty = s.accountEmpty.Microseconds(), 0
+	return reply
 }
 
 // await bounds the silence in an open transaction. The caller holds mu.
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -41,6 +41,7 @@
 			why = err.Error()
 			continue
 		}
+		sent := s.relay.now()
 		reply, err := stream.ask(s.carryRequest(st, arrived), left+carryMargin)
 		switch {
 		case errors.Is(err, errNotTaken):
@@ -54,6 +55,7 @@
 			}
 			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
 		}
+		s.noteCarried(route, sent, reply)
 		return s.settleCarried(st, stream, route, reply)
 	}
 	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", why)
--- /dev/null
+++ b/internal/relay/entry_test.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/stackspindle/stackspindle/internal/account"
+	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/limits"
+	"github.com/stackspindle/stackspindle/internal/peerconn"
+	"github.com/stackspindle/stackspindle/internal/quota"
+	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
+	"github.com/stackspindle/stackspindle/internal/statement"
+)
+
+// newEntry returns a relay without connections to members, whose statements another one
+// carries over loopback.
+func newEntry(t *testing.T, carrier *bench) *Relay {
+	t.Helper()
+	carrier.relay.StartCarrying()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := grpc.NewServer()
+	relaypb.RegisterCarrierServer(server, NewCarrierServer(carrier.relay))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	conns := peerconn.New()
+	t.Cleanup(func() {
+		conns.Close()
+		server.Stop()
+		if err := <-served; err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	entry := New(Config{
+		Started: carrier.relay.started, Topology: carrier.topology, Current: func() bool { return true }, Limiter: unlimited{},
+		Upstreams: carrier.relay.upstreams, Conns: conns, Log: carrier.relay.log, Metrics: metrics.NewSet(),
+	})
+	entry.SetCarriers(map[string]Carriers{"g": {Others: []lead.Instance{{Name: "carrier", Address: l.Addr().String()}}}})
+	return entry
+}
+
+// limiterOf returns a limiter that knows a relay's accounts.
+func limiterOf(r *Relay) *limits.Limiter {
+	return limits.New(limits.Config{
+		Rules:    quota.Rules{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20},
+		Accounts: func() *account.Directory { return r.snapshot().Config.Accounts },
+		Now:      r.now, Spawn: func(task func()) { go task() }, Log: r.log, Metrics: metrics.NewSet(),
+	})
+}
+
+// hotLimiter is a carrier's Limiter that has no tokens for a while. It counts who asks.
+type hotLimiter struct {
+	unlimited
+	empty time.Duration
+	asked int
+}
+
+func (h *hotLimiter) Spend(_ context.Context, name string, _ time.Duration) (quota.Token, quota.Shortage, bool) {
+	if name != "hot" {
+		return quota.Token{}, quota.Shortage{}, true
+	}
+	h.asked++
+	return quota.Token{}, quota.Shortage{ComeBack: comeBackLater, Empty: h.empty > 0}, false
+}
+
+// An account that asks on beyond its limit is refused where its callers are connected,
+// each told a later time to come back; its carrier hears of one of them, and others are
+// served as before.
+func TestAccountAtItsLimitIsRefusedAtTheEntry(t *testing.T) {
+	b := newBench(t)
+	b.declare(2, "hot", "cold")
+	carrier := &hotLimiter{empty: comeBackLater}
+	b.relay.limiter = carrier
+	entry := newEntry(t, b)
+	entry.limiter = limiterOf(entry)
+	e := &bench{relay: entry}
+	var last time.Duration
+	for range 50 {
+		answer := e.run(newSession(entry, withKey("strict", "hot")), statement.Read, "READ 1")
+		must.Eq(t, statement.Busy, answer.Err.Code)
+		due := entry.now() + answer.Err.RetryAfter
+		must.Greater(t, last, due)
+		last = due
+		must.Nil(t, e.run(newSession(entry, withKey("strict", "cold")), statement.Read, "READ 1").Err)
+	}
+	must.Less(t, 25, carrier.asked)
+}
+
+// A carrier that could not ask those that hold the limit tells nothing, and the entry goes
+// on asking it; so it does where the carrier tells what cannot be.
+func TestEntryPassesOnWhereNothingIsKnown(t *testing.T) {
+	for _, empty := range []time.Duration{0, -time.Second} {
+		b := newBench(t)
+		b.declare(2, "hot")
+		carrier := &hotLimiter{empty: empty}
+		b.relay.limiter = carrier
+		entry := newEntry(t, b)
+		entry.limiter = limiterOf(entry)
+		e := &bench{relay: entry}
+		for range 20 {
+			must.Eq(t, statement.Busy, e.run(newSession(entry, withKey("strict", "hot")), statement.Read, "READ 1").Err.Code)
+		}
+		must.Eq(t, 20, carrier.asked)
+	}
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -63,9 +63,12 @@
 	if carriers := s.relay.CarriersOf(route.Group); !carriers.Here && !s.carried {
 		needsPrimary := !s.reads(st) || route.Consistency == topology.Strict
 		s.account = account
+		if refusal := s.refuseAtDoor(account, route); refusal != nil {
+			return statement.Answer{State: statement.Idle, Err: refusal}
+		}
 		return s.carry(ctx, st, route, s.relay.carrierOrder(carriers, route.Group, account, needsPrimary), arrived)
 	}
-	token, refusal := s.relay.spend(account, s.start.Database)
+	token, refusal := s.spend(ctx, account, route, arrived)
 	if refusal != nil {
 		return statement.Answer{State: statement.Idle, Err: refusal}
 	}
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -129,7 +129,8 @@
 // spendAgain uses the account's right to another operation.
 func (a *attempt) spendAgain() bool {
 	var ok bool
-	if a.token, _, ok = a.s.relay.limiter.Spend(a.account); !ok {
+	patience := min(a.deadline, a.arrived+a.route.LatencyObjective) - a.now()
+	if a.token, _, ok = a.s.relay.limiter.Spend(a.ctx, a.account, patience); !ok {
 		a.why, a.atLimit = "the account is at its limit", true
 		return false
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -31,6 +31,9 @@
 	remote  *remoteTransaction // at a carrier; nil: none
 	carried bool               // the session is another instance's, which this one carries for
 	lost    string             // why the open transaction is gone; empty: it is not
+
+	dueBack      time.Duration // when the caller was told to come back last, for its account's limit
+	accountEmpty time.Duration // for how long the account has no tokens, as the last refusal told
 }
 
 // transaction is an open transaction on a member's connection.
