Relay: a statement ends where it waits once its caller has gone

A session read again only after its answer, and a carried statement was worked for to its end. While a statement is under way the caller's socket is now looked at every 50 ms, without taking what has come on it; the statement's context ends, its wait for a connection, a token, a primary or a verification with it, its right returns, and the entry ends the stream to the carrier, where the same happens. What a member works on ends as it would have. A dial that is broken off here no longer counts as a failure of the member.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -345,11 +345,14 @@
 const maxDoublings = 10
 
 func (p *Pool[C]) dial(ctx context.Context, account string) (C, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+	dialing, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
-	conn, err := p.open(ctx, account)
+	conn, err := p.open(dialing, account)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err != nil && ctx.Err() != nil {
+		return conn, fmt.Errorf("connect: %w", ctx.Err()) // broken off here, which tells nothing of the member
+	}
 	if err != nil {
 		p.retryAt = p.now() + min(p.cfg.MinBackoff<<min(p.failures, maxDoublings), p.cfg.MaxBackoff)
 		p.failures++
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -65,7 +65,7 @@
 			carried.heard()
 			continue
 		}
-		reply := c.run(context.Background(), carried, req)
+		reply := c.run(stream.Context(), carried, req)
 		if err := stream.Send(reply); err != nil {
 			return err
 		}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -29,11 +29,11 @@
 }
 
 // carry has a first statement run by a carrier.
-func (s *session) carry(_ context.Context, st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
+func (s *session) carry(ctx context.Context, st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
 	why := "no carrier could be asked"
 	for _, carrier := range s.relay.carrierConns.order(carriers, carriersTried) {
 		left := arrived + route.Timeout - s.relay.now()
-		if left <= 0 {
+		if left <= 0 || ctx.Err() != nil {
 			break
 		}
 		stream, err := s.relay.carrierConns.open(carrier.Address, left)
@@ -42,8 +42,11 @@
 			continue
 		}
 		sent := s.relay.now()
-		reply, err := stream.ask(s.carryRequest(st, arrived), left+carryMargin)
+		reply, err := stream.ask(ctx, s.carryRequest(st, arrived), left+carryMargin)
 		switch {
+		case errors.Is(err, errCallerLeft):
+			s.relay.noteLeft(route.Database, "carried", s.relay.now()-arrived)
+			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
 		case errors.Is(err, errNotTaken):
 			why = err.Error()
 			continue
@@ -64,9 +67,9 @@
 }
 
 // continueCarried runs a further statement of a transaction at a carrier.
-func (s *session) continueCarried(st statement.Statement, arrived time.Duration) statement.Answer {
+func (s *session) continueCarried(ctx context.Context, st statement.Statement, arrived time.Duration) statement.Answer {
 	tx := s.remote
-	reply, err := tx.stream.ask(s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
+	reply, err := tx.stream.ask(ctx, s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
 	if err != nil {
 		s.relay.logLost(s, st, tx.stream.address, err)
 		tx.stream.rest()
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -122,5 +122,5 @@
 // grant is confirmed, or the members could verify it a moment ago.
 func (a *attempt) mayWrite(pass *lead.Pass) bool {
 	return a.reads || pass.Standing() == lead.Confirmed || a.group.verifiedLately(a.now()) ||
-		a.s.relay.verify(a.group, pass.Authority)
+		a.s.relay.verify(a.ctx, a.group, pass.Authority)
 }
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -94,6 +94,10 @@
 		case unknown:
 			return a.giveUpUnknown()
 		}
+		if a.hasLeft() {
+			a.s.relay.noteLeft(a.route.Database, "here", a.now()-a.arrived)
+			return a.refuse()
+		}
 		if a.atLimit || !a.mayWait() {
 			return a.refuse()
 		}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -42,12 +42,13 @@
 	return min(a.deadline, a.untried)
 }
 
-// pause waits for a moment, or until the group's primary changes.
+// pause waits for a moment, or until the group's primary changes or nobody waits any more.
 func (a *attempt) pause() {
 	timer := time.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-a.gate.Changed():
+	case <-a.ctx.Done():
 	case <-timer.C:
 	}
 }
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -59,7 +59,7 @@
 // waitUntil, the answer until timeout.
 func (a *attempt) tryAt(ctx context.Context, t target, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay, up := a.s.relay, t.up
-	if !a.mayRepeat() {
+	if a.hasLeft() || !a.mayRepeat() {
 		return statement.Answer{}, noRoom
 	}
 	a.lastMember, a.lastAfter = up.id, t.after
@@ -88,8 +88,8 @@
 		a.why = err.Error()
 		return statement.Answer{}, noRoom
 	}
-	if a.token.Expired(a.now()) && !a.spendAgain() {
-		held.release() // it has waited for longer than the right to it lasts
+	if a.hasLeft() || a.token.Expired(a.now()) && !a.spendAgain() {
+		held.release() // nobody waits for it, or it has waited for longer than the right to it lasts
 		return statement.Answer{}, noRoom
 	}
 	asked := a.now()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -38,6 +38,9 @@
 	Refuse(e *statement.Error) error
 	// Quiet reports whether the caller has sent nothing that was not read yet.
 	Quiet() bool
+	// Gone reports whether the caller has closed the connection. It takes nothing from
+	// what the caller has sent, and may be called beside all else.
+	Gone() bool
 	// SetReadDeadline bounds the wait in Next.
 	SetReadDeadline(t time.Time) error
 	// Close ends the connection.
@@ -188,7 +191,9 @@
 		return false
 	}
 	c.setBusy(true)
-	answer := c.session.handle(context.Background(), st, arrived)
+	ctx, end := watchDeparture(c.caller)
+	answer := c.session.handle(ctx, st, arrived)
+	end()
 	ok := c.reply(answer)
 	c.noteFailure(st, answer, ok)
 	c.setBusy(false)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -84,9 +84,9 @@
 		delete(s.names, st.Name)
 		return statement.Done(s.state)
 	case s.tx != nil:
-		return s.continueTx(st, arrived)
+		return s.continueTx(ctx, st, arrived)
 	case s.remote != nil:
-		return s.continueCarried(st, arrived)
+		return s.continueCarried(ctx, st, arrived)
 	case ends:
 		return statement.Failure(statement.Idle, statement.Malformed, "no transaction is open")
 	}
@@ -140,8 +140,9 @@
 // member had no room for, is sent again.
 const busyPause = 5 * time.Millisecond
 
-// continueTx runs a further statement of the open transaction.
-func (s *session) continueTx(st statement.Statement, arrived time.Duration) statement.Answer {
+// continueTx runs a further statement of the open transaction. One that its member has no
+// room for is sent again until ctx ends.
+func (s *session) continueTx(ctx context.Context, st statement.Statement, arrived time.Duration) statement.Answer {
 	needed, known := s.needed(st)
 	if !known {
 		return statement.Failure(s.state, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
@@ -157,7 +158,7 @@
 			return s.loseTx(st, err, true)
 		}
 		s.relay.noteAnswer(tx.up, tx.group, tx.pass, asked, answer)
-		if retriableInTx(answer) && time.Now().Add(busyPause).Before(deadline) {
+		if retriableInTx(answer) && ctx.Err() == nil && time.Now().Add(busyPause).Before(deadline) {
 			time.Sleep(busyPause)
 			continue
 		}
--- a/internal/relay/streams.go
+++ b/internal/relay/streams.go
@@ -33,6 +33,9 @@
 	pingTimeout = 250 * time.Millisecond
 )
 
+// errCallerLeft says that the answer is not awaited, since nobody wants it any more.
+var errCallerLeft = errors.New("the caller has gone")
+
 // errNotTaken says that a carrier has not taken a statement up.
 var errNotTaken = errors.New("the carrier has not taken the statement up")
 
@@ -213,9 +216,12 @@
 	}
 }
 
-// release keeps the stream for the next transaction.
+// release keeps the stream for the next transaction, unless it has ended.
 func (s *carrierStream) release() {
 	s.rest()
+	if s.run.Context().Err() != nil {
+		return
+	}
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
 	if len(s.owner.idle[s.address]) >= idleStreams {
@@ -226,10 +232,12 @@
 }
 
 // ask sends a request and returns the reply. An error that wraps errNotTaken means
-// that nothing of it was run; after any error the stream is gone.
-func (s *carrierStream) ask(req *relaypb.CarryRequest, timeout time.Duration) (*relaypb.CarryReply, error) {
+// that nothing of it was run; after any error the stream is gone. With ctx the stream
+// ends, and the carrier gives up what waits there.
+func (s *carrierStream) ask(ctx context.Context, req *relaypb.CarryRequest, timeout time.Duration) (*relaypb.CarryReply, error) {
 	timer := time.AfterFunc(timeout, s.cancel)
 	defer timer.Stop()
+	defer context.AfterFunc(ctx, s.cancel)()
 	done := make(chan struct{})
 	defer close(done)
 	watch := time.AfterFunc(pingAfter, func() { s.owner.watch(s.address, done, s.cancel) })
@@ -240,6 +248,9 @@
 	}
 	reply, err := s.run.Recv()
 	switch {
+	case err != nil && ctx.Err() != nil:
+		s.cancel()
+		return nil, fmt.Errorf("carrier at %s: %w", s.address, errCallerLeft)
 	case err != nil:
 		s.cancel()
 		s.owner.note(s.address, false)
--- a/internal/relay/streams_test.go
+++ b/internal/relay/streams_test.go
@@ -74,11 +74,11 @@
 	c, carrier, proxy := newEcho(t)
 	close(carrier.hold)
 	stream := openSoon(t, c, proxy.Addr())
-	reply, err := stream.ask(&relaypb.CarryRequest{Text: "before"}, long)
+	reply, err := stream.ask(t.Context(), &relaypb.CarryRequest{Text: "before"}, long)
 	must.NoError(t, err)
 	must.Eq(t, "before", reply.Receipt)
 	proxy.Set(faultproxy.Fault{HoldTo: true, HoldBack: true, HoldsOpens: true})
-	_, err = stream.ask(&relaypb.CarryRequest{Text: "lost"}, long)
+	_, err = stream.ask(t.Context(), &relaypb.CarryRequest{Text: "lost"}, long)
 	must.Error(t, err)
 	other := lead.Instance{Name: "other", Address: "other"}
 	silent := lead.Instance{Name: "silent", Address: proxy.Addr()}
@@ -92,9 +92,9 @@
 	close(carrier.hold)
 	stream := openSoon(t, c, proxy.Addr())
 	proxy.SilenceOpen()
-	_, err := stream.ask(&relaypb.CarryRequest{Text: "lost"}, long)
+	_, err := stream.ask(t.Context(), &relaypb.CarryRequest{Text: "lost"}, long)
 	must.Error(t, err)
-	reply, err := openSoon(t, c, proxy.Addr()).ask(&relaypb.CarryRequest{Text: "again"}, long)
+	reply, err := openSoon(t, c, proxy.Addr()).ask(t.Context(), &relaypb.CarryRequest{Text: "again"}, long)
 	must.NoError(t, err)
 	must.Eq(t, "again", reply.Receipt)
 }
@@ -108,7 +108,7 @@
 		time.Sleep(3 * pingAfter)
 		close(carrier.hold)
 	}()
-	reply, err := stream.ask(&relaypb.CarryRequest{Text: "slow"}, long)
+	reply, err := stream.ask(t.Context(), &relaypb.CarryRequest{Text: "slow"}, long)
 	must.NoError(t, err)
 	must.Eq(t, "slow", reply.Receipt)
 }
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -55,15 +55,15 @@
 	case lead.Confirmed:
 		return true
 	case lead.Unconfirmed:
-		return r.verify(g, pass.Authority)
+		return r.verify(context.Background(), g, pass.Authority)
 	}
 	return false
 }
 
 // verify reports whether no other member led the group in a newer term at some
 // moment after the call. It asks every member that this instance knows of but the
-// primary; one that does not answer might lead.
-func (r *Relay) verify(g *groupState, a lead.Authority) bool {
+// primary; one that does not answer might lead. Once ctx has ended it is not waited for.
+func (r *Relay) verify(ctx context.Context, g *groupState, a lead.Authority) bool {
 	g.mu.Lock()
 	wanted := g.verifier.next
 	if wanted == nil {
@@ -75,8 +75,12 @@
 		go r.runRounds(g, a)
 	}
 	g.mu.Unlock()
-	<-wanted.done
-	return wanted.ok
+	select {
+	case <-wanted.done:
+		return wanted.ok
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // runRounds runs rounds, one after another, while somebody waits for one.
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -88,11 +88,11 @@
 	g := b.relay.upstreams.group("g")
 	a, err := b.gate.Authority()
 	must.NoError(t, err)
-	must.True(t, b.relay.verify(g, a))
+	must.True(t, b.relay.verify(t.Context(), g, a))
 	must.True(t, g.verifiedLately(b.relay.now()))
 	must.False(t, g.verifiedLately(b.relay.now()+time.Minute))
 	must.NoError(t, b.group.Promote(t.Context(), "g", "m2", "other", 2))
-	must.False(t, b.relay.verify(g, a))
+	must.False(t, b.relay.verify(t.Context(), g, a))
 }
 
 // A primary serves its group alone when no replica has served a read for a while, and
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -75,6 +75,13 @@
 	fail    int  // statements to fail
 	ran     []string
 	conns   map[*conn]struct{}
+	held    *held // statements that reach it; nil: none
+}
+
+// held is how long the statements of a member take.
+type held struct {
+	reached chan struct{} // has an item for each that has come
+	ended   chan struct{} // closed when they may run
 }
 
 // Group is one group. It is safe for concurrent use.
@@ -146,6 +153,21 @@
 	}
 }
 
+// Hold has the statements that reach a member from now on run only once release is
+// called. reached has an item for each that has come.
+func (g *Group) Hold(id string) (reached <-chan struct{}, release func()) {
+	h := &held{reached: make(chan struct{}, keptRuns), ended: make(chan struct{})}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].held = h
+	return h.reached, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.members[id].held = nil
+		close(h.ended)
+	}
+}
+
 // SilenceOpen lets nothing be heard any more on a member's open connections. New ones
 // work.
 func (g *Group) SilenceOpen(id string) {
@@ -383,6 +405,12 @@
 	if err := c.enter(req.Deadline); err != nil {
 		return statement.Answer{}, err
 	}
+	if h := c.member.held; h != nil {
+		c.group.mu.Unlock()
+		h.reached <- struct{}{}
+		<-h.ended
+		c.group.mu.Lock()
+	}
 	answer := c.run(req)
 	c.group.noteRun(Run{ID: req.Statement.ID, Member: c.member.id, Account: c.account})
 	lost := c.member.lose > 0
