Limits: a refusal tells what those that hold the limit had said

A carrier that could not ask all holders does not know that the account has nothing, and tells its entries nothing. The log line names how many holders had no token, were silent, were gone; a refusal where callers are connected has a line of its own.

--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -99,9 +99,14 @@
 // Shortage tells why an account has no token now.
 type Shortage struct {
 	ComeBack time.Duration // after what time one can be had
-	Empty    bool          // the holders said that they have none; false: not all could be asked
+	Without  int           // holders that said that they have none
+	Silent   int           // that did not answer a moment ago
+	Gone     int           // that are not alive
 }
 
+// Empty reports whether all holders that are alive said that they have no token.
+func (s Shortage) Empty() bool { return s.Without > 0 && s.Silent == 0 }
+
 // Take uses a token of an account for an operation.
 func (m *Meter) Take(now time.Duration, name string) Decision {
 	s := m.stock(name)
@@ -170,16 +175,19 @@
 func (m *Meter) ask(now time.Duration, name string, s *stock) (string, Shortage) {
 	best, rank, shortage := "", 0, Shortage{ComeBack: awayPause}
 	var score uint64
-	known := true
 	for _, holder := range m.holders.Of(name) {
 		centre, alive := m.centres[holder]
-		if !alive {
+		switch silent, without := m.away[holder]-now, s.empty[holder]-now; {
+		case !alive:
+			shortage.Gone++
 			continue
-		}
-		if until := max(m.away[holder], s.empty[holder]); until > now {
-			shortage.ComeBack = min(shortage.ComeBack, until-now)
-			shortage.Empty = true
-			known = known && m.away[holder] <= now
+		case silent > 0:
+			shortage.Silent++
+			shortage.ComeBack = min(shortage.ComeBack, max(silent, without))
+			continue
+		case without > 0:
+			shortage.Without++
+			shortage.ComeBack = min(shortage.ComeBack, without)
 			continue
 		}
 		r, sc := m.distance(holder, centre), ownership.Score(m.self, holder)
@@ -187,7 +195,6 @@
 			best, rank, score = holder, r, sc
 		}
 	}
-	shortage.Empty = shortage.Empty && known
 	return best, shortage
 }
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -77,14 +77,15 @@
 		s.dueBack = 0
 		return token, nil
 	}
-	if shortage.Empty {
+	if shortage.Empty() {
 		s.accountEmpty = shortage.ComeBack
 	}
 	comeBack := shortage.ComeBack
 	if !s.carried {
 		comeBack = s.promise(cmp.Or(r.limiter.Refused(s.visit(account, route), 0, s.accountEmpty), comeBack))
 	}
-	r.logAtLimit(limitLine{account: account, database: route.Database, comeBack: comeBack, empty: shortage.Empty})
+	shortage.ComeBack = comeBack
+	r.logAtLimit(account, route.Database, shortage)
 	return token, atLimit(comeBack)
 }
 
@@ -100,7 +101,7 @@
 		s.dueBack = 0
 		return nil
 	}
-	s.relay.logAtLimit(limitLine{account: account, database: route.Database, comeBack: comeBack, empty: true, atDoor: true})
+	s.relay.logAtDoor(account, route.Database, comeBack)
 	return atLimit(s.promise(comeBack))
 }
 
@@ -128,23 +129,25 @@
 	return comeBack
 }
 
-// limitLine is what a refusal for a limit rests on.
-type limitLine struct {
-	account, database string
-	comeBack          time.Duration
-	empty             bool // the holders said that they have none
-	atDoor            bool // an earlier refusal told so
-}
-
-func (r *Relay) logAtLimit(l limitLine) {
-	if leftOut, ok := r.sampler.Allow("limit" + l.account); ok {
+// logAtLimit tells of an operation that got no token, and what those that hold the
+// account's limit had said.
+func (r *Relay) logAtLimit(account, database string, shortage quota.Shortage) {
+	if leftOut, ok := r.sampler.Allow("limit" + account); ok {
 		r.log.WithFields(logrus.Fields{
-			"account": l.account, "database": l.database, "come_back_ms": l.comeBack.Milliseconds(),
-			"empty": l.empty, "at_door": l.atDoor, "left_out": leftOut,
+			"account": account, "database": database, "come_back_ms": shortage.ComeBack.Milliseconds(), "left_out": leftOut,
+			"holders_without": shortage.Without, "holders_silent": shortage.Silent, "holders_gone": shortage.Gone,
 		}).Info("relay: an account is at its limit, or those that hold it could not be asked")
 	}
 }
 
+// logAtDoor tells of an operation that was not carried, on the word of a carrier.
+func (r *Relay) logAtDoor(account, database string, comeBack time.Duration) {
+	if leftOut, ok := r.sampler.Allow("door" + account); ok {
+		r.log.WithFields(logrus.Fields{"account": account, "database": database, "come_back_ms": comeBack.Milliseconds(), "left_out": leftOut}).
+			Info("relay: an account is at its limit, as a carrier told a moment ago")
+	}
+}
+
 // admitFirst is admit for the first statement of a session's transaction. Of a carried
 // one the caller was admitted by its own instance, which knows the key.
 func (s *session) admitFirst() (topology.Route, string, *statement.Error) {
--- a/internal/relay/entry_test.go
+++ b/internal/relay/entry_test.go
@@ -59,8 +59,8 @@
 // hotLimiter is a carrier's Limiter that has no tokens for a while. It counts who asks.
 type hotLimiter struct {
 	unlimited
-	empty time.Duration
-	asked int
+	shortage quota.Shortage
+	asked    int
 }
 
 func (h *hotLimiter) Spend(_ context.Context, name string, _ time.Duration) (quota.Token, quota.Shortage, bool) {
@@ -68,7 +68,7 @@
 		return quota.Token{}, quota.Shortage{}, true
 	}
 	h.asked++
-	return quota.Token{}, quota.Shortage{ComeBack: comeBackLater, Empty: h.empty > 0}, false
+	return quota.Token{}, h.shortage, false
 }
 
 // An account that asks on beyond its limit is refused where its callers are connected,
@@ -77,7 +77,7 @@
 func TestAccountAtItsLimitIsRefusedAtTheEntry(t *testing.T) {
 	b := newBench(t)
 	b.declare(2, "hot", "cold")
-	carrier := &hotLimiter{empty: comeBackLater}
+	carrier := &hotLimiter{shortage: quota.Shortage{ComeBack: comeBackLater, Without: 1}}
 	b.relay.limiter = carrier
 	entry := newEntry(t, b)
 	entry.limiter = limiterOf(entry)
@@ -97,10 +97,13 @@
 // A carrier that could not ask those that hold the limit tells nothing, and the entry goes
 // on asking it; so it does where the carrier tells what cannot be.
 func TestEntryPassesOnWhereNothingIsKnown(t *testing.T) {
-	for _, empty := range []time.Duration{0, -time.Second} {
+	for _, shortage := range []quota.Shortage{
+		{ComeBack: time.Second, Silent: 1}, {ComeBack: time.Second, Silent: 1, Without: 5}, {ComeBack: time.Second, Gone: 6},
+		{ComeBack: -time.Second, Without: 1}, {ComeBack: time.Hour, Without: 1},
+	} {
 		b := newBench(t)
 		b.declare(2, "hot")
-		carrier := &hotLimiter{empty: empty}
+		carrier := &hotLimiter{shortage: shortage}
 		b.relay.limiter = carrier
 		entry := newEntry(t, b)
 		entry.limiter = limiterOf(entry)
