Limits: holders that have just started, or are late, keep nobody waiting

Now the next holder is asked beside one that is late; a silent one, and one that cannot tell yet, is asked again after 100 ms, and more seldom only with each time in a row; neither counts as having no tokens.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,9 +22,12 @@
 )
 
 const (
-	// askTimeout bounds a question for tokens. A healthy holder answers in 1 to 3 ms; an
-	// operation that waits for one goes on with the next holder after it.
+	// askTimeout bounds a question for tokens. A machine whose share of the processor is
+	// spent stands still for as long.
 	askTimeout = 100 * time.Millisecond
+	// askPatience is after what time the next holder is asked beside one that has not
+	// answered: longer than the way to another region and back.
+	askPatience = 30 * time.Millisecond
 	// countedAccounts bounds the accounts that have counters of their own; further ones
 	// share one.
 	countedAccounts = 512
@@ -41,6 +44,7 @@
 	spawn    func(func())
 	log      *logrus.Entry
 	counters counters
+	timeout  time.Duration // of a question
 
 	mu         sync.Mutex // guards the rest
 	meter      *quota.Meter
@@ -71,6 +75,7 @@
 	return &Limiter{
 		self: cfg.Self.Name, accounts: cfg.Accounts, conns: cfg.Conns, now: cfg.Now, spawn: cfg.Spawn, log: cfg.Log,
 		counters:  counters{set: cfg.Metrics, named: make(map[string]bool)},
+		timeout:   askTimeout,
 		meter:     quota.NewMeter(cfg.Self.Name, cfg.Self.DataCentre),
 		ledger:    quota.NewLedger(cfg.Self.Name, cfg.Rules),
 		confirmed: -quota.Validity,
@@ -178,6 +183,11 @@
 		}
 		decision = l.meter.Take(l.now(), name)
 	}
+	if under := l.questions[name]; under != nil && decision.Verdict == quota.Refuse && decision.Shortage.Silent > 0 {
+		decision.Verdict = quota.Ask // a holder that is late may still have some
+		l.waiting[name]++
+		return decision, under
+	}
 	if decision.Holder == "" {
 		return decision, nil
 	}
@@ -188,8 +198,8 @@
 	if done == nil {
 		done = make(chan struct{})
 		l.questions[name] = done
-		wanted, address := max(decision.Wanted, l.waiting[name]), l.addresses[decision.Holder]
-		l.spawn(func() { l.ask(name, decision.Holder, address, wanted, done) })
+		wanted := max(decision.Wanted, l.waiting[name])
+		l.spawn(func() { l.ask(name, decision.Holder, wanted, done) })
 	}
 	return decision, done
 }
@@ -202,12 +212,29 @@
 	l.counters.note(name, "unanswered")
 }
 
-// ask asks a holder for tokens, and then others as long as there are too few.
-func (l *Limiter) ask(name, holder, address string, wanted int, done chan struct{}) {
-	for holder != "" {
-		sent := l.now()
-		grant, err := l.call(name, wanted, address)
-		holder, address, wanted = l.answered(sent, name, holder, grant, err)
+// question is one account's question for tokens, to one holder after another.
+type question struct {
+	limiter *Limiter
+	account string
+	answers chan struct{} // has an item for each holder that has answered, or failed to
+	ended   chan struct{} // closed at the end
+	awaited int           // holders that have not answered
+}
+
+// ask asks a holder for tokens, and then others as long as there are too few. One that is
+// late is awaited beside the next.
+func (l *Limiter) ask(name, holder string, wanted int, done chan struct{}) {
+	q := &question{limiter: l, account: name, answers: make(chan struct{}), ended: make(chan struct{})}
+	defer close(q.ended)
+	for holder != "" || q.awaited > 0 {
+		if holder != "" {
+			q.put(holder, wanted)
+		}
+		q.await(holder)
+		var served bool
+		if holder, wanted, served = l.next(name); served {
+			break
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -215,34 +242,75 @@
 	close(done)
 }
 
-// answered takes in a holder's answer, or that it gave none, and returns the holder to ask
-// next: none once operations that wait can go on.
-func (l *Limiter) answered(sent time.Duration, name, holder string, g quota.Grant, err error) (string, string, int) {
+// put asks one holder. Its answer is taken in also after the question has ended.
+func (q *question) put(holder string, wanted int) {
+	l := q.limiter
+	q.awaited++
+	l.spawn(func() {
+		sent := l.now()
+		grant, err := l.call(q.account, holder, wanted)
+		l.answered(sent, q.account, holder, grant, err)
+		select {
+		case q.answers <- struct{}{}:
+		case <-q.ended:
+		}
+	})
+}
+
+// await waits for an answer of any holder, and for one that was asked just now no longer
+// than askPatience.
+func (q *question) await(asked string) {
+	if asked == "" {
+		<-q.answers
+		q.awaited--
+		return
+	}
+	late := time.NewTimer(askPatience)
+	defer late.Stop()
+	select {
+	case <-q.answers:
+		q.awaited--
+	case <-late.C:
+		q.limiter.mu.Lock()
+		defer q.limiter.mu.Unlock()
+		q.limiter.meter.Late(q.limiter.now(), asked)
+	}
+}
+
+// answered takes in a holder's answer, or that it gave none.
+func (l *Limiter) answered(sent time.Duration, name, holder string, g quota.Grant, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
 		l.meter.Failed(l.now(), holder)
 		l.log.WithError(err).WithFields(logrus.Fields{"account": name, "holder": holder}).Debug("limits: a holder did not answer")
-	} else {
-		l.meter.Granted(sent, l.now(), name, holder, g)
-	}
-	if l.waiting[name] > 0 {
-		return "", "", 0
+		return
 	}
-	next, wanted := l.meter.Ahead(l.now(), name)
-	if next == l.self {
-		l.meter.Granted(l.now(), l.now(), name, next, l.reserve(name, wanted))
-		next, wanted = l.meter.Ahead(l.now(), name)
+	l.meter.Granted(sent, l.now(), name, holder, g)
+}
+
+// next returns the holder to ask next, or that all operations which wait can go on.
+func (l *Limiter) next(name string) (holder string, wanted int, served bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		holder, wanted = l.meter.Next(l.now(), name, l.waiting[name])
+		if holder != l.self {
+			return holder, wanted, holder == "" && l.meter.Has(l.now(), name)
+		}
+		l.meter.Granted(l.now(), l.now(), name, holder, l.reserve(name, wanted))
 	}
-	return next, l.addresses[next], wanted
 }
 
-func (l *Limiter) call(name string, wanted int, address string) (quota.Grant, error) {
+func (l *Limiter) call(name, holder string, wanted int) (quota.Grant, error) {
+	l.mu.Lock()
+	address := l.addresses[holder]
+	l.mu.Unlock()
 	conn, err := l.conns.Get(address)
 	if err != nil {
 		return quota.Grant{}, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), l.timeout)
 	defer cancel()
 	reply, err := limitspb.NewLimitsClient(conn).Reserve(ctx, &limitspb.ReserveRequest{Account: name, Wanted: uint32(wanted)})
 	if err != nil {
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -1,10 +1,12 @@
 package limits
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -147,3 +149,68 @@
 	_, _, ok := f.limiters[0].Spend(t.Context(), "none", generous)
 	must.False(t, ok)
 }
+
+// holdersBut returns the holders of an account but for one.
+func (f *fleet) holdersBut(name, not string) []int {
+	var held []int
+	for i, l := range f.limiters {
+		if l.self != not && slices.Contains(l.holders.Of(name), l.self) {
+			held = append(held, i)
+		}
+	}
+	return held
+}
+
+// mute has a holder leave all questions without an answer.
+func (f *fleet) mute(t *testing.T, i int) {
+	f.servers[i].Stop()
+	l, err := net.Listen("tcp", "127.0.0.1:0") // connections are taken, and nothing is said
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, l.Close()) })
+	for n := range f.alive {
+		if n == i {
+			f.alive[n].Address = l.Addr().String()
+		}
+	}
+	for _, limiter := range f.limiters {
+		limiter.Learn(limiter.registered, f.alive)
+	}
+}
+
+// After a loss of many instances, five of six holders do not answer: an operation has its
+// token from the sixth while the questions to the others are open.
+func TestLateHoldersAreNotWaitedFor(t *testing.T) {
+	f := newFleet(t, 7, account.Limit{Rate: 50, Burst: 50})
+	var asker *Limiter
+	for _, l := range f.limiters {
+		if !slices.Contains(l.holders.Of("a"), l.self) {
+			asker = l
+		}
+	}
+	asker.timeout = time.Hour
+	for _, i := range f.holdersBut("a", asker.holders.Of("a")[5]) {
+		f.mute(t, i)
+	}
+	for range 3 {
+		_, _, ok := asker.Spend(t.Context(), "a", generous)
+		must.True(t, ok)
+	}
+}
+
+// An operation whose caller has gone waits for no token.
+func TestTokenIsNotAwaitedForNobody(t *testing.T) {
+	f := newFleet(t, 7, account.Limit{Rate: 50, Burst: 50})
+	l := f.limiters[0]
+	l.timeout = time.Hour
+	for _, i := range f.holdersBut("a", "") {
+		f.mute(t, i)
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	if slices.Contains(l.holders.Of("a"), l.self) {
+		l.Settle(2 * time.Hour) // its own share is of no help
+	}
+	_, shortage, ok := l.Spend(ctx, "a", generous)
+	must.False(t, ok)
+	must.Positive(t, shortage.ComeBack)
+}
--- a/internal/quota/door.go
+++ b/internal/quota/door.go
@@ -10,7 +10,7 @@
 const (
 	// maxShut bounds for how long operations are refused on one piece of news. An account
 	// that has come below its limit meanwhile loses no more than twice that.
-	maxShut = time.Second
+	maxShut = 500 * time.Millisecond
 	// doorMemory is for how long the pace of an account at its limit is remembered.
 	doorMemory = 10 * time.Second
 	// doorAccounts bounds the accounts that are remembered. Operations of others are passed on.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -56,7 +56,8 @@
 type Grant struct {
 	Tokens int
 	Life   time.Duration // of the tokens, from when they were asked for
-	// ComeBack is after what time a token can be had; with tokens it is 0.
+	// ComeBack is after what time a token can be had, or the instance may hold a share; with
+	// tokens it is 0, as where that is not known.
 	ComeBack time.Duration
 	Holder   bool // false: the instance holds no share of the account
 }
@@ -68,8 +69,13 @@
 		return Grant{Tokens: wanted, Life: maxLife, Holder: true}
 	}
 	holders := l.holders.Of(name)
-	if l.settled < 0 || now < l.settled || now-confirmed > Validity || !slices.Contains(holders, l.self) {
+	switch {
+	case l.settled < 0 || now-confirmed > Validity:
+		return Grant{ComeBack: firstPause} // it has not read the store yet
+	case !slices.Contains(holders, l.self):
 		return Grant{}
+	case now < l.settled:
+		return Grant{ComeBack: l.settled - now}
 	}
 	budget := l.rules.Budget(limit).share(len(holders))
 	b := l.fill(now, name, budget)
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -17,8 +17,12 @@
 	// gapSpan is the number of operations over which the usual pause between them is
 	// averaged.
 	gapSpan = 8
-	// awayPause is for how long a holder that did not answer is not asked again.
+	// awayPause is the longest for which a holder that did not answer is not asked again, and
+	// one that holds nothing.
 	awayPause = time.Second
+	// firstPause is for how long it is not asked after the first time: one that has just
+	// started answers a moment later. It doubles with each time in a row.
+	firstPause = 100 * time.Millisecond
 	// emptyPause is the least time before a holder without tokens is asked again: many
 	// instances may want the next one.
 	emptyPause = 100 * time.Millisecond
@@ -30,15 +34,22 @@
 	self     string
 	near     string // this instance's data centre
 	holders  *Holders
-	centres  map[string]string        // data centre by instance, of those that are alive
-	away     map[string]time.Duration // until when a holder is not asked
+	centres  map[string]string  // data centre by instance, of those that are alive
+	away     map[string]silence // holders that did not answer
 	accounts map[string]*stock
 }
 
+// silence is what is known of a holder that did not answer.
+type silence struct {
+	until time.Duration // until when it is not asked
+	times int           // in a row
+}
+
 // stock is what the instance has of one account.
 type stock struct {
 	batches []batch                  // by the end of their life
 	empty   map[string]time.Duration // until when a holder has none, by name
+	unready map[string]time.Duration // until when one cannot tell
 	last    time.Duration            // when the last token was used
 	gap     time.Duration            // usual pause between two uses; 0: not known
 	life    time.Duration            // of the tokens that came last
@@ -52,7 +63,7 @@
 
 // NewMeter returns a meter without tokens.
 func NewMeter(self, dataCentre string) *Meter {
-	return &Meter{self: self, near: dataCentre, holders: NewHolders(nil), away: make(map[string]time.Duration), accounts: make(map[string]*stock)}
+	return &Meter{self: self, near: dataCentre, holders: NewHolders(nil), away: make(map[string]silence), accounts: make(map[string]*stock)}
 }
 
 // Register takes in the registered instances and the data centres of those alive.
@@ -100,7 +111,7 @@
 type Shortage struct {
 	ComeBack time.Duration // after what time one can be had
 	Without  int           // holders that said that they have none
-	Silent   int           // that did not answer a moment ago
+	Silent   int           // that did not answer a moment ago, or could not tell
 	Gone     int           // that are not alive
 }
 
@@ -136,13 +147,40 @@
 	return holder, target - left
 }
 
+// Next returns the holder to ask for tokens while some operations wait for one, and how
+// many: none when they can go on, or nobody may have any.
+func (m *Meter) Next(now time.Duration, name string, waiting int) (string, int) {
+	s := m.stock(name)
+	s.expire(now)
+	if waiting == 0 {
+		return m.Ahead(now, name)
+	}
+	if s.left() > 0 {
+		return "", 0
+	}
+	holder, _ := m.ask(now, name, s)
+	return holder, waiting + s.target()
+}
+
+// Has reports whether there is a token of an account.
+func (m *Meter) Has(now time.Duration, name string) bool {
+	s := m.stock(name)
+	s.expire(now)
+	return s.left() > 0
+}
+
 // Granted takes in a holder's answer to a question that was sent at a time.
 func (m *Meter) Granted(sent, now time.Duration, name, holder string, g Grant) {
 	s := m.stock(name)
 	delete(m.away, holder)
+	if g.Holder {
+		delete(s.unready, holder)
+	}
 	switch {
+	case !g.Holder && g.ComeBack > 0:
+		s.unready[holder] = now + min(g.ComeBack, awayPause)
 	case !g.Holder:
-		s.empty[holder] = now + awayPause // it sees other holders, or is not settled
+		s.unready[holder] = now + awayPause // it sees other holders
 	case g.Tokens == 0:
 		s.empty[holder] = now + max(g.ComeBack, emptyPause)
 	default:
@@ -158,12 +196,24 @@
 }
 
 // Failed notes that a holder did not answer.
-func (m *Meter) Failed(now time.Duration, holder string) { m.away[holder] = now + awayPause }
+func (m *Meter) Failed(now time.Duration, holder string) {
+	known := m.away[holder]
+	m.away[holder] = silence{until: now + min(firstPause<<known.times, awayPause), times: min(known.times+1, maxDoublings)}
+}
+
+// maxDoublings keeps the pause after a silence in range.
+const maxDoublings = 10
+
+// Late notes that a holder has not answered yet, so that others are asked meanwhile.
+func (m *Meter) Late(now time.Duration, holder string) {
+	known := m.away[holder]
+	m.away[holder] = silence{until: max(known.until, now+firstPause), times: known.times}
+}
 
 func (m *Meter) stock(name string) *stock {
 	s := m.accounts[name]
 	if s == nil {
-		s = &stock{empty: make(map[string]time.Duration)}
+		s = &stock{empty: make(map[string]time.Duration), unready: make(map[string]time.Duration)}
 		m.accounts[name] = s
 	}
 	return s
@@ -177,7 +227,7 @@
 	var score uint64
 	for _, holder := range m.holders.Of(name) {
 		centre, alive := m.centres[holder]
-		switch silent, without := m.away[holder]-now, s.empty[holder]-now; {
+		switch silent, without := max(m.away[holder].until, s.unready[holder])-now, s.empty[holder]-now; {
 		case !alive:
 			shortage.Gone++
 			continue
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -198,3 +198,37 @@
 	l.Settle(0)
 	must.Zero(t, l.Reserve(time.Minute, time.Minute, "a", limit, 1000).Tokens)
 }
+
+// A holder that does not answer is asked again soon after the first time, since it may
+// have just started, and then more and more seldom. What it might have is not known.
+func TestSilentHolderIsAskedAgain(t *testing.T) {
+	m, _ := fleetOf(1)
+	now, pause := time.Minute, firstPause
+	for range 5 {
+		m.Failed(now, "front-000")
+		d := m.Take(now, "a")
+		must.Eq(t, Refuse, d.Verdict)
+		must.False(t, d.Shortage.Empty())
+		must.Eq(t, pause, d.Shortage.ComeBack)
+		now += pause
+		must.Eq(t, Ask, m.Take(now, "a").Verdict)
+		pause = min(2*pause, awayPause)
+	}
+	m.Granted(now, now, "a", "front-000", Grant{Holder: true, ComeBack: time.Second})
+	m.Failed(now, "front-000")
+	must.Eq(t, Ask, m.Take(now+time.Second, "a").Verdict)
+}
+
+// After a restart of all, holders say that they cannot tell yet: they are asked again soon,
+// and nobody concludes that the account is at its limit.
+func TestHolderThatHasJustStartedIsNotEmpty(t *testing.T) {
+	m, ledgers := fleetOf(1)
+	limit := account.Limit{Rate: 10, Burst: 10}
+	m.Granted(0, 0, "a", "front-000", ledgers["front-000"].Reserve(time.Minute, time.Minute-Validity-1, "a", limit, 1))
+	d := m.Take(firstPause-1, "a")
+	must.Eq(t, Refuse, d.Verdict)
+	must.False(t, d.Shortage.Empty())
+	must.Eq(t, Ask, m.Take(firstPause, "a").Verdict)
+	m.Granted(0, 0, "a", "front-000", Grant{Holder: true, ComeBack: time.Second})
+	must.True(t, m.Take(0, "a").Shortage.Empty())
+}
