--- a/internal/relay/departure.go
+++ b/internal/relay/departure.go
@@ -84,3 +84,11 @@
 			Info("relay: a caller has gone while its statement waited")
 	}
 }
+
+// noteRested counts and logs a transaction that was ended since its caller let it rest.
+func (r *Relay) noteRested(database string) {
+	r.set.GetOrCreateCounter("stackspindle_resting_transactions_ended_total").Inc()
+	if leftOut, ok := r.sampler.Allow("rested"); ok {
+		r.log.WithFields(logrus.Fields{"database": database, "left_out": leftOut}).Info("relay: a transaction that rested for too long was rolled back")
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -240,6 +240,7 @@
 func (c *callerConn) idleTooLong() bool {
 	if c.session.tx != nil || c.session.remote != nil {
 		c.session.abandonTx("the transaction rested for too long and was rolled back")
+		c.server.relay.noteRested(c.session.start.Database)
 		c.setBusy(false)
 		return true
 	}
