--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -71,7 +71,11 @@
 	tx := s.remote
 	reply, err := tx.stream.ask(ctx, s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
 	if err != nil {
-		s.relay.logLost(s, st, tx.stream.address, err)
+		if errors.Is(err, errCallerLeft) {
+			s.relay.noteLeft(s.start.Database, "carried", s.relay.now()-arrived)
+		} else {
+			s.relay.logLost(s, st, tx.stream.address, err)
+		}
 		tx.stream.rest()
 		s.remote = nil
 		if st.Kind == statement.Commit && tx.wrote && !errors.Is(err, errNotTaken) {
