--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	// askTimeout bounds a question for tokens. A healthy holder answers in 1 to 3 ms; an
-	// operation that waits for one goes on with the next holder after it.
+	// askTimeout bounds a question for tokens. A machine whose share of the processor is
+	// spent stands still for as long.
 	askTimeout = 100 * time.Millisecond
-	// waitTimeout bounds how long an operation waits for a token in all.
-	waitTimeout = 250 * time.Millisecond
+	// askPatience is after what time the next holder is asked beside one that has not
+	// answered: longer than the way to another region and back.
+	askPatience = 30 * time.Millisecond
 	// countedAccounts bounds the accounts that have counters of their own; further ones
 	// share one.
 	countedAccounts = 512
@@ -43,6 +44,7 @@
 	spawn    func(func())
 	log      *logrus.Entry
 	counters counters
+	timeout  time.Duration // of a question
 
 	mu         sync.Mutex // guards the rest
 	meter      *quota.Meter
@@ -53,6 +55,7 @@
 	addresses  map[string]string        // of the instances that are alive
 	questions  map[string]chan struct{} // under way, by account; closed at their end
 	waiting    map[string]int           // operations that wait for a token, by account
+	door       *quota.Door
 }
 
 // Config is what a limiter works with.
@@ -72,12 +75,14 @@
 	return &Limiter{
 		self: cfg.Self.Name, accounts: cfg.Accounts, conns: cfg.Conns, now: cfg.Now, spawn: cfg.Spawn, log: cfg.Log,
 		counters:  counters{set: cfg.Metrics, named: make(map[string]bool)},
+		timeout:   askTimeout,
 		meter:     quota.NewMeter(cfg.Self.Name, cfg.Self.DataCentre),
 		ledger:    quota.NewLedger(cfg.Self.Name, cfg.Rules),
 		confirmed: -quota.Validity,
 		holders:   quota.NewHolders(nil),
 		questions: make(map[string]chan struct{}),
 		waiting:   make(map[string]int),
+		door:      quota.NewDoor(),
 	}
 }
 
@@ -112,12 +117,12 @@
 	l.ledger.Settle(at)
 }
 
-// Spend uses a token of an account for one operation. It reports false when the account
-// is at its limit, with after what time a token can be had. In the usual case it waits
-// for nobody.
-func (l *Limiter) Spend(name string) (quota.Token, time.Duration, bool) {
-	if limit, known := l.accounts().Limit(name); name == account.Anonymous || known && limit.Unlimited {
-		return quota.Token{}, 0, true
+// Spend uses a token of an account for one operation, which waits for one no longer than
+// its patience, and not at all once ctx has ended. It reports false when there is none. In
+// the usual case it waits for nobody.
+func (l *Limiter) Spend(ctx context.Context, name string, patience time.Duration) (quota.Token, quota.Shortage, bool) {
+	if !l.isLimited(name) {
+		return quota.Token{}, quota.Shortage{}, true
 	}
 	var deadline <-chan time.Time
 	for waits := false; ; waits = true {
@@ -125,13 +130,13 @@
 		switch decision.Verdict {
 		case quota.Run:
 			l.counters.note(name, "run")
-			return decision.Token, 0, true
+			return decision.Token, quota.Shortage{}, true
 		case quota.Refuse:
 			l.counters.note(name, "refused")
-			return quota.Token{}, decision.ComeBack, false
+			return quota.Token{}, decision.Shortage, false
 		}
 		if deadline == nil {
-			timer := time.NewTimer(waitTimeout)
+			timer := time.NewTimer(patience)
 			defer timer.Stop()
 			deadline = timer.C
 		}
@@ -139,11 +144,20 @@
 		case <-asked:
 		case <-deadline:
 			l.giveUp(name)
-			return quota.Token{}, waitTimeout, false
+			return quota.Token{}, quota.Shortage{ComeBack: askTimeout}, false
+		case <-ctx.Done():
+			l.giveUp(name)
+			return quota.Token{}, quota.Shortage{ComeBack: askTimeout}, false
 		}
 	}
 }
 
+// isLimited reports whether operations of an account need tokens.
+func (l *Limiter) isLimited(name string) bool {
+	limit, known := l.accounts().Limit(name)
+	return name != account.Anonymous && !(known && limit.Unlimited)
+}
+
 // Return gives back the token of an operation that has not run.
 func (l *Limiter) Return(name string, t quota.Token) {
 	l.mu.Lock()
@@ -169,6 +183,11 @@
 		}
 		decision = l.meter.Take(l.now(), name)
 	}
+	if under := l.questions[name]; under != nil && decision.Verdict == quota.Refuse && decision.Shortage.Silent > 0 {
+		decision.Verdict = quota.Ask // a holder that is late may still have some
+		l.waiting[name]++
+		return decision, under
+	}
 	if decision.Holder == "" {
 		return decision, nil
 	}
@@ -179,8 +198,8 @@
 	if done == nil {
 		done = make(chan struct{})
 		l.questions[name] = done
-		wanted, address := max(decision.Wanted, l.waiting[name]), l.addresses[decision.Holder]
-		l.spawn(func() { l.ask(name, decision.Holder, address, wanted, done) })
+		wanted := max(decision.Wanted, l.waiting[name])
+		l.spawn(func() { l.ask(name, decision.Holder, wanted, done) })
 	}
 	return decision, done
 }
@@ -193,12 +212,29 @@
 	l.counters.note(name, "unanswered")
 }
 
-// ask asks a holder for tokens, and then others as long as there are too few.
-func (l *Limiter) ask(name, holder, address string, wanted int, done chan struct{}) {
-	for holder != "" {
-		sent := l.now()
-		grant, err := l.call(name, wanted, address)
-		holder, address, wanted = l.answered(sent, name, holder, grant, err)
+// question is one account's question for tokens, to one holder after another.
+type question struct {
+	limiter *Limiter
+	account string
+	answers chan struct{} // has an item for each holder that has answered, or failed to
+	ended   chan struct{} // closed at the end
+	awaited int           // holders that have not answered
+}
+
+// ask asks a holder for tokens, and then others as long as there are too few. One that is
+// late is awaited beside the next.
+func (l *Limiter) ask(name, holder string, wanted int, done chan struct{}) {
+	q := &question{limiter: l, account: name, answers: make(chan struct{}), ended: make(chan struct{})}
+	defer close(q.ended)
+	for holder != "" || q.awaited > 0 {
+		if holder != "" {
+			q.put(holder, wanted)
+		}
+		q.await(holder)
+		var served bool
+		if holder, wanted, served = l.next(name); served {
+			break
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -206,34 +242,75 @@
 	close(done)
 }
 
-// answered takes in a holder's answer, or that it gave none, and returns the holder to ask
-// next: none once operations that wait can go on.
-func (l *Limiter) answered(sent time.Duration, name, holder string, g quota.Grant, err error) (string, string, int) {
+// put asks one holder. Its answer is taken in also after the question has ended.
+func (q *question) put(holder string, wanted int) {
+	l := q.limiter
+	q.awaited++
+	l.spawn(func() {
+		sent := l.now()
+		grant, err := l.call(q.account, holder, wanted)
+		l.answered(sent, q.account, holder, grant, err)
+		select {
+		case q.answers <- struct{}{}:
+		case <-q.ended:
+		}
+	})
+}
+
+// await waits for an answer of any holder, and for one that was asked just now no longer
+// than askPatience.
+func (q *question) await(asked string) {
+	if asked == "" {
+		<-q.answers
+		q.awaited--
+		return
+	}
+	late := time.NewTimer(askPatience)
+	defer late.Stop()
+	select {
+	case <-q.answers:
+		q.awaited--
+	case <-late.C:
+		q.limiter.mu.Lock()
+		defer q.limiter.mu.Unlock()
+		q.limiter.meter.Late(q.limiter.now(), asked)
+	}
+}
+
+// answered takes in a holder's answer, or that it gave none.
+func (l *Limiter) answered(sent time.Duration, name, holder string, g quota.Grant, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
 		l.meter.Failed(l.now(), holder)
 		l.log.WithError(err).WithFields(logrus.Fields{"account": name, "holder": holder}).Debug("limits: a holder did not answer")
-	} else {
-		l.meter.Granted(sent, l.now(), name, holder, g)
-	}
-	if l.waiting[name] > 0 {
-		return "", "", 0
+		return
 	}
-	next, wanted := l.meter.Ahead(l.now(), name)
-	if next == l.self {
-		l.meter.Granted(l.now(), l.now(), name, next, l.reserve(name, wanted))
-		next, wanted = l.meter.Ahead(l.now(), name)
+	l.meter.Granted(sent, l.now(), name, holder, g)
+}
+
+// next returns the holder to ask next, or that all operations which wait can go on.
+func (l *Limiter) next(name string) (holder string, wanted int, served bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		holder, wanted = l.meter.Next(l.now(), name, l.waiting[name])
+		if holder != l.self {
+			return holder, wanted, holder == "" && l.meter.Has(l.now(), name)
+		}
+		l.meter.Granted(l.now(), l.now(), name, holder, l.reserve(name, wanted))
 	}
-	return next, l.addresses[next], wanted
 }
 
-func (l *Limiter) call(name string, wanted int, address string) (quota.Grant, error) {
+func (l *Limiter) call(name, holder string, wanted int) (quota.Grant, error) {
+	l.mu.Lock()
+	address := l.addresses[holder]
+	l.mu.Unlock()
 	conn, err := l.conns.Get(address)
 	if err != nil {
 		return quota.Grant{}, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), l.timeout)
 	defer cancel()
 	reply, err := limitspb.NewLimitsClient(conn).Reserve(ctx, &limitspb.ReserveRequest{Account: name, Wanted: uint32(wanted)})
 	if err != nil {
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -65,7 +65,7 @@
 			carried.heard()
 			continue
 		}
-		reply := c.run(context.Background(), carried, req)
+		reply := c.run(stream.Context(), carried, req)
 		if err := stream.Send(reply); err != nil {
 			return err
 		}
@@ -95,6 +95,7 @@
 	if route, ok := c.relay.snapshot().Databases[req.Database]; ok {
 		c.relay.tell(reply, route.Group)
 	}
+	reply.AccountEmptyUs, s.accountEmpty = s.accountEmpty.Microseconds(), 0
 	return reply
 }
 
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -30,17 +30,17 @@
 }
 
 // carry has a first statement run by a carrier.
-func (s *session) carry(_ context.Context, st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
+func (s *session) carry(ctx context.Context, st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
 	q := s.query(st, route, arrived)
 	ordered := s.relay.carrierConns.order(carriers, carriersTried)
 	choice := s.relay.outlook.choose(s.relay.now(), q, ordered)
 	if !choice.Verdict.Admit {
-		return s.refuseAtDoor(st, route, choice)
+		return s.refuseForWait(st, route, choice)
 	}
 	why, refusal := "no carrier could be asked", statement.Answer{}
 	for n := range choice.Len {
 		carrier, left := ordered[choice.At(n)], arrived+route.Timeout-s.relay.now()
-		if left <= 0 {
+		if left <= 0 || ctx.Err() != nil {
 			break
 		}
 		stream, err := s.relay.carrierConns.open(carrier.Address, left)
@@ -49,8 +49,12 @@
 			why = err.Error()
 			continue
 		}
-		reply, err := stream.ask(s.carryRequest(st, arrived), left+carryMargin)
+		sent := s.relay.now()
+		reply, err := stream.ask(ctx, s.carryRequest(st, arrived), left+carryMargin)
 		switch {
+		case errors.Is(err, errCallerLeft):
+			s.relay.noteLeft(route.Database, "carried", s.relay.now()-arrived)
+			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
 		case errors.Is(err, errNotTaken):
 			s.relay.outlook.lost(carrier.Address)
 			why = err.Error()
@@ -64,6 +68,7 @@
 			}
 			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
 		}
+		s.noteCarried(route, sent, reply)
 		s.relay.outlook.told(s.relay.now(), carrier.Address, route.Group, reply)
 		if n+1 < choice.Open && refusedForWait(reply, q) {
 			stream.release()
@@ -88,11 +93,15 @@
 }
 
 // continueCarried runs a further statement of a transaction at a carrier.
-func (s *session) continueCarried(st statement.Statement, arrived time.Duration) statement.Answer {
+func (s *session) continueCarried(ctx context.Context, st statement.Statement, arrived time.Duration) statement.Answer {
 	tx := s.remote
-	reply, err := tx.stream.ask(s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
+	reply, err := tx.stream.ask(ctx, s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
 	if err != nil {
-		s.relay.logLost(s, st, tx.stream.address, err)
+		if errors.Is(err, errCallerLeft) {
+			s.relay.noteLeft(s.start.Database, "carried", s.relay.now()-arrived)
+		} else {
+			s.relay.logLost(s, st, tx.stream.address, err)
+		}
 		tx.stream.rest()
 		s.remote = nil
 		if st.Kind == statement.Commit && tx.wrote && !errors.Is(err, errNotTaken) {
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -69,9 +69,12 @@
 	if carriers := s.relay.CarriersOf(route.Group); !carriers.Here && !s.carried {
 		needsPrimary := !s.reads(st) || route.Consistency == topology.Strict
 		s.account = account
+		if refusal := s.refuseAtDoor(account, route); refusal != nil {
+			return statement.Answer{State: statement.Idle, Err: refusal}
+		}
 		return s.carry(ctx, st, route, s.relay.carrierOrder(carriers, route.Group, account, needsPrimary), arrived)
 	}
-	token, refusal := s.relay.spend(account, s.start.Database)
+	token, refusal := s.spend(ctx, account, route, arrived)
 	if refusal != nil {
 		return statement.Answer{State: statement.Idle, Err: refusal}
 	}
@@ -97,6 +100,10 @@
 		case unknown:
 			return a.giveUpUnknown()
 		}
+		if a.hasLeft() {
+			a.s.relay.noteLeft(a.route.Database, "here", a.now()-a.arrived)
+			return a.refuse()
+		}
 		if a.atLimit || !a.worthHolding() {
 			return a.refuse()
 		}
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -47,7 +47,7 @@
 // waitUntil, the answer until timeout.
 func (a *attempt) tryAt(ctx context.Context, t target, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay, up := a.s.relay, t.up
-	if !a.mayRepeat() {
+	if a.hasLeft() || !a.mayRepeat() {
 		return statement.Answer{}, noRoom
 	}
 	a.lastMember, a.lastAfter = up.id, t.after
@@ -79,8 +79,8 @@
 		a.why = err.Error()
 		return statement.Answer{}, noRoom
 	}
-	if a.token.Expired(a.now()) && !a.spendAgain() {
-		held.release() // it has waited for longer than the right to it lasts
+	if a.hasLeft() || a.token.Expired(a.now()) && !a.spendAgain() {
+		held.release() // nobody waits for it, or it has waited for longer than the right to it lasts
 		return statement.Answer{}, noRoom
 	}
 	asked := a.now()
@@ -120,7 +120,8 @@
 // spendAgain uses the account's right to another operation.
 func (a *attempt) spendAgain() bool {
 	var ok bool
-	if a.token, _, ok = a.s.relay.limiter.Spend(a.account); !ok {
+	patience := min(a.deadline, a.arrived+a.route.LatencyObjective) - a.now()
+	if a.token, _, ok = a.s.relay.limiter.Spend(a.ctx, a.account, patience); !ok {
 		a.why, a.atLimit = "the account is at its limit", true
 		return false
 	}
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -59,7 +59,7 @@
 	case lead.Confirmed:
 		return true
 	case lead.Unconfirmed:
-		return r.verify(g, pass.Authority, reads)
+		return r.verify(context.Background(), g, pass.Authority, reads)
 	}
 	return false
 }
@@ -68,8 +68,8 @@
 // moment after the call. It asks every member that this instance knows of but the
 // primary; one that does not answer might lead. For a read it asks the primary as well: one
 // that has stepped down refuses to write, and would go on reading while a member leads of
-// which this instance does not know.
-func (r *Relay) verify(g *groupState, a lead.Authority, reads bool) bool {
+// which this instance does not know. Once ctx has ended it is not waited for.
+func (r *Relay) verify(ctx context.Context, g *groupState, a lead.Authority, reads bool) bool {
 	g.mu.Lock()
 	wanted := g.verifier.next
 	if wanted == nil {
@@ -82,8 +82,12 @@
 		go r.runRounds(g, a)
 	}
 	g.mu.Unlock()
-	<-wanted.done
-	return wanted.ok && (wanted.leads || !reads)
+	select {
+	case <-wanted.done:
+		return wanted.ok && (wanted.leads || !reads)
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // runRounds runs rounds, one after another, while somebody waits for one.
