Regions: settings, distance, placement and routing know them

Nothing knew a region: a caller of a data centre without carriers took any of six, and a read went to a less loaded replica 12 ms away as readily as to one beside it. Settings [regions] tell the region of each data centre; package locality the distance of two. A read is carried in its caller's region and served there until what waits for the members there takes longer than the way; what needs the primary goes straight to a carrier in its data centre, or else its region; a lost data centre is made up for in its region. With one region, or none in the settings, carriers and order are the same as before (property).

TestEmptyGapsAreFoundTogether left the sections of the template standing for values that are not given, which the platform does not do; a table of data centres has no such form. It leaves them out now and asks for the same findings.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/config"
 	"github.com/stackspindle/stackspindle/internal/fleet"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/logs"
 	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/platform"
@@ -81,6 +82,7 @@
 	return fleet.Settings{
 		Name:          s.Name,
 		DataCentre:    s.DataCentre,
+		Places:        locality.New(s.Regions),
 		CallerListen:  s.CallerListen,
 		PeerListen:    s.PeerListen,
 		PeerAddress:   s.PeerAddress,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,9 +4,12 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +39,8 @@
 type Settings struct {
 	Name       string
 	DataCentre string
+	Region     string            // of the data centre; empty: as Regions says
+	Regions    map[string]string // region by data centre; empty: there is one region
 
 	CallerListen string
 	Caller       caller.Options
@@ -97,14 +102,18 @@
 		MaxWait:         owner.DefaultMaxWait,
 		DrainTime:       30 * time.Second,
 		Credentials:     make(map[string]string),
+		Regions:         make(map[string]string),
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
 		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info", Limits: quota.Rules{Window: 5 * time.Second}},
 	}
 }
 
-// credentialSection holds references chosen by the operators.
-const credentialSection = "credentials"
+// Sections whose keys are not fixed.
+const (
+	credentialSection = "credentials" // references chosen by the operators
+	regionSection     = "regions"     // data centres
+)
 
 // Load reads a file.
 func Load(path string) (*Settings, error) {
@@ -169,6 +178,10 @@
 			s.Credentials[pl.key] = key.Value()
 			continue
 		}
+		if pl.section == regionSection {
+			p.region(s, pl, key.Value())
+			continue
+		}
 		set, ok := keys[pl]
 		if !ok {
 			p.list.Add(p.at(pl), "unknown key")
@@ -180,6 +193,32 @@
 	}
 }
 
+// region takes in the region of a data centre.
+func (p *parser) region(s *Settings, pl place, region string) {
+	var checked string
+	if err := name(&checked)(region); err != nil {
+		p.list.Add(p.at(pl), "%s", err.Error())
+	}
+	s.Regions[pl.key] = region // also a wrong one, so that it is not found missing as well
+}
+
+// regions checks that the instance's data centre has a region, and that the region it
+// names itself is that one.
+func (p *parser) regions(s *Settings) {
+	known := slices.Collect(maps.Values(s.Regions))
+	own, ok := s.Regions[s.DataCentre]
+	switch {
+	case len(s.Regions) > 0 && !ok:
+		p.list.Add(p.at(place{"instance", "data_centre"}), "%q has no region in [%s]", s.DataCentre, regionSection)
+	case s.Region == "":
+	case !slices.Contains(known, s.Region):
+		p.list.Add(p.at(place{"instance", "region"}), "%q is not a region of [%s]", s.Region, regionSection)
+	case s.Region != own:
+		p.list.Add(p.at(place{"instance", "region"}), "%q is not the region of data centre %q, which is %q", s.Region, s.DataCentre, own)
+	}
+	s.Region = cmp.Or(s.Region, own)
+}
+
 // leastStoreSilence leaves room for a watch and its way on a healthy network.
 const leastStoreSilence = time.Second
 
@@ -216,6 +255,7 @@
 	if s.Fleet.StoreSilence < leastStoreSilence {
 		p.list.Add(p.at(place{"fleet", "store_silence"}), "must be at least %s", leastStoreSilence)
 	}
+	p.regions(s)
 	p.pair("caller", s.CallerTLS)
 	p.pair("peer", s.PeerTLS)
 	p.pair("operator", s.OperatorTLS)
@@ -262,6 +302,7 @@
 	return map[place]setter{
 		{"instance", "name"}:                   name(&s.Name),
 		{"instance", "data_centre"}:            name(&s.DataCentre),
+		{"instance", "region"}:                 name(&s.Region),
 		{"caller", "listen"}:                   address(&s.CallerListen),
 		{"caller", "authenticate"}:             boolean(&s.Caller.Authenticate),
 		{"caller", "max_callers"}:              number(&s.Caller.MaxCallers, 1, 1_000_000),
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -53,3 +53,30 @@
 	must.Len(t, 2, s.Seeds)
 	must.Eq(t, "change-me", s.Credentials["roster-app"])
 }
+
+// Each wrong setting of regions is a finding at its place.
+func TestFindingsOfRegions(t *testing.T) {
+	head := "[caller]\nlisten = 127.0.0.1:1\n[peer]\nlisten = 127.0.0.1:2\n[fleet]\nstore = 127.0.0.1:3\npromoter = 127.0.0.1:4\nready = 127.0.0.1:5\n"
+	for name, c := range map[string]struct {
+		text string
+		want string // empty: no finding
+	}{
+		"none":                           {"[instance]\nname = i\ndata_centre = a", ""},
+		"one":                            {"[instance]\nname = i\ndata_centre = a\n[regions]\na = x", ""},
+		"its own, and the region named":  {"[instance]\nname = i\ndata_centre = a\nregion = x\n[regions]\na = x\nb = y", ""},
+		"a data centre without a region": {"[instance]\nname = i\ndata_centre = a\n[regions]\na = x\nb =", `x.ini:14: [regions] b: "" is not a name`},
+		"its own data centre is missing": {"[instance]\nname = i\ndata_centre = c\n[regions]\na = x", `x.ini:11: [instance] data_centre: "c" has no region in [regions]`},
+		"its region is not known":        {"[instance]\nname = i\ndata_centre = a\nregion = z\n[regions]\na = x", `x.ini:12: [instance] region: "z" is not a region of [regions]`},
+		"its region is another one":      {"[instance]\nname = i\ndata_centre = a\nregion = y\n[regions]\na = x\nb = y", `x.ini:12: [instance] region: "y" is not the region of data centre "a", which is "x"`},
+		"a data centre stands twice":     {"[instance]\nname = i\ndata_centre = a\n[regions]\na = x\na = y", "[regions] a: stands 2 times"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("x.ini", []byte(head+c.text))
+			if c.want == "" {
+				must.NoError(t, err)
+				return
+			}
+			must.ErrorContains(t, err, c.want)
+		})
+	}
+}
--- a/internal/config/template_test.go
+++ b/internal/config/template_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +20,9 @@
 	"bounds.grace-s": "6", "bounds.config-apply-ms": "3000",
 }
 
+// filledWithRegions are those of a deployment in two regions.
+var filledWithRegions = map[string]string{"region": "nord", "zones": "tunis-a=nord,tunis-b=nord,sfax-a=sud"}
+
 // filledWithLimits are those of a deployment that judges the use of client accounts.
 var filledWithLimits = map[string]string{
 	"bootstrap": "true", "bounds.quota-window-s": "7", "bounds.quota-overage": "0.1", "bounds.quota-slack": "20",
@@ -29,16 +33,31 @@
 	section = regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
 )
 
+// expand returns what stands for a section, once for each entry of a table, once for another
+// value that is given.
+func expand(value, body string) string {
+	if !strings.Contains(value, "=") {
+		return body
+	}
+	var text strings.Builder
+	for _, entry := range strings.Split(value, ",") {
+		key, item, _ := strings.Cut(entry, "=")
+		text.WriteString(strings.NewReplacer("{{@}}", key, "{{.}}", item).Replace(body))
+	}
+	return text.String()
+}
+
 // template fills the template's gaps. A section stands where its value is given.
 func template(t *testing.T, values map[string]string) string {
 	raw, err := os.ReadFile("../../deploy/instance.ini")
 	must.NoError(t, err)
 	text := section.ReplaceAllStringFunc(string(raw), func(match string) string {
 		parts := section.FindStringSubmatch(match)
-		if _, ok := values[parts[1]]; !ok {
+		value, ok := values[parts[1]]
+		if !ok {
 			return ""
 		}
-		return parts[2]
+		return expand(value, parts[2])
 	})
 	return gap.ReplaceAllStringFunc(text, func(match string) string {
 		value, ok := values[gap.FindStringSubmatch(match)[1]]
@@ -64,13 +83,24 @@
 	must.Eq(t, "10.1.0.8:7440", s.PeerListen)
 	must.Eq(t, "10.200.1.7:8783", s.Fleet.Store)
 	must.Eq(t, "info", s.Fleet.LogLevel)
+	must.MapEmpty(t, s.Regions)
+}
+
+func TestTemplateWithRegions(t *testing.T) {
+	values := maps.Clone(filled)
+	maps.Copy(values, filledWithRegions)
+	s, err := Parse("instance.ini", []byte(template(t, values)))
+	must.NoError(t, err)
+	must.Eq(t, "nord", s.Region)
+	must.Eq(t, map[string]string{"tunis-a": "nord", "tunis-b": "nord", "sfax-a": "sud"}, s.Regions)
 }
 
-// A gap for which the platform has no value stands empty; each is a finding.
+// A gap for which the platform has no value stands empty; each is a finding. A section for
+// which it has none does not stand.
 func TestEmptyGapsAreFoundTogether(t *testing.T) {
 	raw, err := os.ReadFile("../../deploy/instance.ini")
 	must.NoError(t, err)
-	_, err = Parse("instance.ini", gap.ReplaceAll(raw, nil))
+	_, err = Parse("instance.ini", gap.ReplaceAll(section.ReplaceAll(raw, nil), nil))
 	must.Error(t, err)
 	for _, key := range []string{"[instance] name", "[caller] listen", "[peer] listen", "[fleet] store", "[fleet] ready", "[fleet] grace", "[fleet] store_silence"} {
 		must.StrContains(t, err.Error(), key)
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -285,7 +285,7 @@
 	now := sharing{groups: relay.Groups(snap), alive: view.Alive(), registered: len(view.Registered(i.now()))}
 	if i.placed == nil || !now.equal(i.shared) {
 		i.shared = now
-		i.placed = relay.Place(now.groups, i.self, now.alive, now.registered)
+		i.placed = relay.Place(now.groups, i.self, now.alive, now.registered, i.settings.Places)
 		i.relay.SetCarriers(i.placed)
 	}
 	i.upstreams.Update(snap, i.placed, i.self.DataCentre)
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -28,6 +28,7 @@
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 	"github.com/stackspindle/stackspindle/internal/limits"
 	"github.com/stackspindle/stackspindle/internal/limits/limitspb"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/quota"
@@ -61,6 +62,7 @@
 type Settings struct {
 	Name          string
 	DataCentre    string
+	Places        locality.Map // of the data centres
 	CallerListen  string
 	PeerListen    string
 	PeerAddress   string // under which others reach the instance; empty: as bound
@@ -175,7 +177,7 @@
 		Now: i.now, Spawn: i.spawn, Log: i.part("limits"), Metrics: i.set,
 	})
 	i.relay = relay.New(relay.Config{
-		Started: i.started, Self: i.self, Topology: i.topology.Load, Current: i.current, Limiter: i.limiter,
+		Started: i.started, Self: i.self, Places: settings.Places, Topology: i.topology.Load, Current: i.current, Limiter: i.limiter,
 		Upstreams: i.upstreams, Conns: i.conns, Log: i.part("relay"), Metrics: i.set,
 	})
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
--- /dev/null
+++ b/internal/locality/locality.go
@@ -0,0 +1,70 @@
+// Package locality tells how far the data centres of a deployment lie from one another.
+// It has no I/O, clock or goroutine.
+package locality
+
+import "fmt"
+
+// Distance is how far one data centre lies from another.
+type Distance int
+
+// The distances, nearest first.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// distanceNames name the distances in logs and metrics.
+var distanceNames = map[Distance]string{
+	SameDataCentre: "same_data_centre", SameRegion: "same_region", OtherRegion: "other_region",
+}
+
+// String returns the distance's name in logs and metrics.
+func (d Distance) String() string {
+	if name, ok := distanceNames[d]; ok {
+		return name
+	}
+	return fmt.Sprintf("distance(%d)", int(d))
+}
+
+// Map holds the region of each data centre. The empty map knows a single region. It is not
+// changed after it was made.
+type Map struct {
+	regions map[string]string // by data centre
+	several bool              // there is more than one region
+}
+
+// New returns a map of the region of each data centre.
+func New(regions map[string]string) Map {
+	m := Map{regions: make(map[string]string, len(regions))}
+	first := ""
+	for dataCentre, region := range regions {
+		m.regions[dataCentre] = region
+		if first == "" {
+			first = region
+		}
+		m.several = m.several || region != first
+	}
+	return m
+}
+
+// Several reports whether there is more than one region.
+func (m Map) Several() bool { return m.several }
+
+// Region returns the region of a data centre, empty when it is not known.
+func (m Map) Region(dataCentre string) string { return m.regions[dataCentre] }
+
+// Distance returns how far one data centre lies from another. Where there are several
+// regions, a data centre that is not in the map counts as a region of its own, so that
+// work goes there only when nothing known to be nearer is left.
+func (m Map) Distance(a, b string) Distance {
+	switch {
+	case a == b:
+		return SameDataCentre
+	case !m.several:
+		return SameRegion
+	case m.regions[a] == "" || m.regions[a] != m.regions[b]:
+		return OtherRegion
+	}
+	return SameRegion
+}
--- /dev/null
+++ b/internal/locality/locality_test.go
@@ -0,0 +1,36 @@
+package locality
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestDistance(t *testing.T) {
+	two := New(map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+	one := New(map[string]string{"a1": "a", "a2": "a"})
+	for name, c := range map[string]struct {
+		places   Map
+		from, to string
+		want     Distance
+	}{
+		"the same":                              {two, "a1", "a1", SameDataCentre},
+		"one region":                            {two, "a1", "a2", SameRegion},
+		"another region":                        {two, "a1", "b1", OtherRegion},
+		"not in the map":                        {two, "a1", "c1", OtherRegion},
+		"neither in the map":                    {two, "c1", "c2", OtherRegion},
+		"the same, not in the map":              {two, "c1", "c1", SameDataCentre},
+		"an empty map":                          {Map{}, "a1", "b1", SameRegion},
+		"a single region":                       {one, "a1", "a2", SameRegion},
+		"a single region, one not in the map":   {one, "a1", "c1", SameRegion},
+		"an empty map knows the same one again": {Map{}, "a1", "a1", SameDataCentre},
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.want, c.places.Distance(c.from, c.to))
+			must.Eq(t, c.want, c.places.Distance(c.to, c.from))
+		})
+	}
+	must.True(t, two.Several())
+	must.False(t, one.Several())
+	must.False(t, Map{}.Several())
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,8 +15,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/ownership"
 )
 
@@ -32,9 +34,9 @@
 	// farPool is how many connections to a member a carrier in another data centre has: one
 	// that a transaction holds, and one for everything else.
 	farPool = leastPool
-	// perMember is how many carriers stand in the data centre of each member: while
+	// PerMember is how many carriers stand in the data centre of each member: while
 	// one is gone the other serves.
-	perMember = 2
+	PerMember = 2
 	// perSlot is how many statements may be at a member for each that it runs: one
 	// that runs, and one on its way or waiting.
 	perSlot = 2
@@ -47,6 +49,13 @@
 	Homes          []string // data centre of each member
 }
 
+// Fleet is what placement knows of the instances.
+type Fleet struct {
+	Alive      []ownership.Instance
+	Registered int          // may use connections, those included that may have died
+	Places     locality.Map // of the data centres
+}
+
 // Carriers are the instances that hold connections to a group's members.
 type Carriers struct {
 	Everybody bool     // each instance does, so that nobody passes statements on
@@ -57,35 +66,35 @@
 }
 
 // Place returns the carriers of a group among the instances that are alive.
-// registered is how many may use connections, those included that may have died.
-func Place(g Group, alive []ownership.Instance, registered int) Carriers {
+func Place(g Group, f Fleet) Carriers {
 	usable := g.MaxConnections - Reserved
-	if usable/leastPool >= registered {
-		count := max(1, registered) // none is known while an instance starts
+	if usable/leastPool >= f.Registered {
+		count := max(1, f.Registered) // none is known while an instance starts
 		return Carriers{Everybody: true, usable: usable, count: count}
 	}
 	most := max(1, usable/sharedPool)
 	if len(g.Homes) > 0 {
-		most = min(most, perMember*len(g.Homes))
+		most = min(most, PerMember*len(g.Homes))
 	}
-	names, atHome := choose(g, alive, most)
+	names, atHome := choose(g, f, most)
 	return Carriers{Names: names, atHome: atHome, usable: usable, count: most}
 }
 
 // choose takes the first in rank of each member's data centre, and fills up with
-// others where one has too few instances.
-func choose(g Group, alive []ownership.Instance, most int) ([]string, map[string]int) {
+// others where one has too few instances: first with those of its region, so that
+// each region with a member has carriers.
+func choose(g Group, f Fleet, most int) ([]string, map[string]int) {
 	places := make(map[string]int, len(g.Homes))
 	for _, home := range g.Homes {
-		places[home] += perMember
+		places[home] += PerMember
 	}
-	dataCentres := make(map[string]string, len(alive))
-	for _, i := range alive {
+	dataCentres := make(map[string]string, len(f.Alive))
+	for _, i := range f.Alive {
 		dataCentres[i.Name] = i.DataCentre
 	}
 	var names, others []string
 	atHome := make(map[string]int, len(g.Homes))
-	for _, name := range ownership.Rank(ownership.Group{Name: g.Name}, alive) {
+	for _, name := range ownership.Rank(ownership.Group{Name: g.Name}, f.Alive) {
 		home := dataCentres[name]
 		if places[home] == 0 || len(names) == most {
 			others = append(others, name)
@@ -96,9 +105,36 @@
 		names = append(names, name)
 	}
 	missing := min(most-len(names), len(others))
+	sortByNeed(others, places, func(name, home string) bool {
+		return f.Places.Distance(dataCentres[name], home) == locality.SameRegion
+	})
 	return append(names, others[:missing]...), atHome
 }
 
+// sortByNeed moves those to the front that make up for a place that is left in their region,
+// one for each such place, and leaves the rest as it is.
+func sortByNeed(names []string, places map[string]int, sameRegion func(name, home string) bool) {
+	needed := make(map[string]bool)
+	for _, name := range names {
+		for _, home := range slices.Sorted(maps.Keys(places)) {
+			if places[home] > 0 && sameRegion(name, home) {
+				places[home]--
+				needed[name] = true
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(names, func(a, b string) int {
+		switch {
+		case needed[a] == needed[b]:
+			return 0
+		case needed[a]:
+			return -1
+		}
+		return 1
+	})
+}
+
 // Includes reports whether an instance is one of the carriers.
 func (c Carriers) Includes(name string) bool { return c.Everybody || slices.Contains(c.Names, name) }
 
@@ -146,25 +182,17 @@
 }
 
 // Order sorts carriers into the order in which an instance passes statements to them:
-// those in the preferred data centre first, then those in its own, then the others.
+// by their distance to the preferred data centre, then by that to its own.
 // Among equals each instance begins with another one, so that the carriers share the work.
-func Order[C any](carriers []C, of func(C) ownership.Instance, caller Caller, preferred string) []C {
+func Order[C any](carriers []C, of func(C) ownership.Instance, caller Caller, preferred string, places locality.Map) []C {
 	sorted := slices.Clone(carriers)
-	distance := func(i ownership.Instance) int {
-		switch i.DataCentre {
-		case preferred:
-			return 0
-		case caller.DataCentre:
-			return 1
-		}
-		return 2
-	}
 	slices.SortStableFunc(sorted, func(a, b C) int {
 		ia, ib := of(a), of(b)
-		if d := cmp.Compare(distance(ia), distance(ib)); d != 0 {
-			return d
-		}
-		return cmp.Compare(ownership.Score(caller.Name, ia.Name), ownership.Score(caller.Name, ib.Name))
+		return cmp.Or(
+			cmp.Compare(places.Distance(ia.DataCentre, preferred), places.Distance(ib.DataCentre, preferred)),
+			cmp.Compare(places.Distance(ia.DataCentre, caller.DataCentre), places.Distance(ib.DataCentre, caller.DataCentre)),
+			cmp.Compare(ownership.Score(caller.Name, ia.Name), ownership.Score(caller.Name, ib.Name)),
+		)
 	})
 	return sorted
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/ownership"
 	"github.com/stackspindle/stackspindle/internal/pool"
 )
@@ -25,6 +26,11 @@
 	return all
 }
 
+// place places a group in a fleet of one region.
+func place(g Group, alive []ownership.Instance, registered int) Carriers {
+	return Place(g, Fleet{Alive: alive, Registered: registered})
+}
+
 func TestHowManyCarry(t *testing.T) {
 	for name, c := range map[string]struct {
 		connections, registered, homes int
@@ -46,7 +52,7 @@
 			for i := range c.homes {
 				g.Homes = append(g.Homes, fmt.Sprint(i))
 			}
-			got := Place(g, fleet(c.registered/5+1, "0", "1", "2", "3", "4"), c.registered)
+			got := place(g, fleet(c.registered/5+1, "0", "1", "2", "3", "4"), c.registered)
 			must.Eq(t, c.everybody, got.Everybody)
 			must.Eq(t, c.share, got.Connections("none", "0"))
 			must.Eq(t, c.count, got.count)
@@ -77,11 +83,11 @@
 
 // The carriers near a member have most of its connections.
 func TestNearCarriersHaveMoreConnections(t *testing.T) {
-	c := Place(Group{Name: "g", MaxConnections: 29, Homes: []string{"a", "b", "c"}}, fleet(24, "a", "b", "c"), 71)
+	c := place(Group{Name: "g", MaxConnections: 29, Homes: []string{"a", "b", "c"}}, fleet(24, "a", "b", "c"), 71)
 	must.Eq(t, 9, c.Connections("a", "a"))
 	must.Eq(t, 2, c.Connections("a", "b"))
 	must.LessEq(t, 29-Reserved, 2*9+4*2)
-	everybody := Place(Group{Name: "g", MaxConnections: 23, Homes: []string{"a", "b", "c"}}, fleet(3, "a", "b", "c"), 9)
+	everybody := place(Group{Name: "g", MaxConnections: 23, Homes: []string{"a", "b", "c"}}, fleet(3, "a", "b", "c"), 9)
 	must.Eq(t, 2, everybody.Connections("a", "a"))
 }
 
@@ -96,10 +102,10 @@
 		return in
 	}
 	all := fleet(50, "a", "b", "c", "d", "e")
-	must.Eq(t, map[string]int{"a": 2, "b": 2, "c": 2}, count(Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, all, 250)))
-	must.Eq(t, map[string]int{"a": 4, "b": 2}, count(Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "a", "b"}}, all, 250)))
+	must.Eq(t, map[string]int{"a": 2, "b": 2, "c": 2}, count(place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, all, 250)))
+	must.Eq(t, map[string]int{"a": 4, "b": 2}, count(place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "a", "b"}}, all, 250)))
 	gone := slices.DeleteFunc(slices.Clone(all), func(i ownership.Instance) bool { return i.DataCentre == "a" })
-	c := Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, gone, 250)
+	c := place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, gone, 250)
 	must.Len(t, 6, c.Names)
 	must.Greater(t, 1, count(c)["b"])
 }
@@ -108,8 +114,8 @@
 func TestPlacementIsStable(t *testing.T) {
 	all := fleet(50, "a", "b", "c", "d", "e")
 	g := Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}
-	before := Place(g, all, 250).Names
-	without := Place(g, slices.DeleteFunc(slices.Clone(all), func(i ownership.Instance) bool { return i.Name == before[0] }), 249).Names
+	before := place(g, all, 250).Names
+	without := place(g, slices.DeleteFunc(slices.Clone(all), func(i ownership.Instance) bool { return i.Name == before[0] }), 249).Names
 	kept := 0
 	for _, name := range without {
 		if slices.Contains(before, name) {
@@ -117,20 +123,20 @@
 		}
 	}
 	must.Eq(t, len(before)-1, kept)
-	rank, ok := Place(g, all, 250).Rank(before[1])
+	rank, ok := place(g, all, 250).Rank(before[1])
 	must.True(t, ok)
 	must.Eq(t, 1, rank)
-	_, ok = Place(g, all, 250).Rank("d-1")
+	_, ok = place(g, all, 250).Rank("d-1")
 	must.False(t, ok)
 }
 
 func TestActive(t *testing.T) {
-	everybody := Place(Group{Name: "g", MaxConnections: 23}, nil, 9)
+	everybody := place(Group{Name: "g", MaxConnections: 23}, nil, 9)
 	must.Eq(t, 1, everybody.Active(3, "a", "a"))
-	must.Eq(t, 2, Place(Group{Name: "g", MaxConnections: 23}, nil, 3).Active(3, "a", "a"))
-	must.Eq(t, 6, Place(Group{Name: "g", MaxConnections: 23}, nil, 1).Active(3, "a", "a"))
-	must.Eq(t, 1, Place(Group{Name: "g", MaxConnections: 23}, nil, 5).Active(0, "a", "a"))
-	few := Place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, fleet(50, "a", "b", "c", "d"), 200)
+	must.Eq(t, 2, place(Group{Name: "g", MaxConnections: 23}, nil, 3).Active(3, "a", "a"))
+	must.Eq(t, 6, place(Group{Name: "g", MaxConnections: 23}, nil, 1).Active(3, "a", "a"))
+	must.Eq(t, 1, place(Group{Name: "g", MaxConnections: 23}, nil, 5).Active(0, "a", "a"))
+	few := place(Group{Name: "g", MaxConnections: 131, Homes: []string{"a", "b", "c"}}, fleet(50, "a", "b", "c", "d"), 200)
 	must.Eq(t, 3, few.Active(3, "a", "a"), must.Sprint("two near carriers share the member"))
 	must.Eq(t, 1, few.Active(3, "a", "b"))
 	must.Eq(t, 1, few.Active(3, "d", "d"), must.Sprint("no carrier stands there"))
@@ -143,7 +149,7 @@
 	same := func(i ownership.Instance) ownership.Instance { return i }
 	near := func(caller Caller, preferred string) []string {
 		var dcs []string
-		for _, i := range Order(carriers, same, caller, preferred)[:2] {
+		for _, i := range Order(carriers, same, caller, preferred, locality.Map{})[:2] {
 			dcs = append(dcs, i.DataCentre)
 		}
 		return dcs
@@ -153,7 +159,7 @@
 	must.Eq(t, []string{"a", "a"}, near(Caller{"x", "a"}, "d"))
 	first := make(map[string]int)
 	for i := range 300 {
-		first[Order(carriers, same, Caller{fmt.Sprint(i), "d"}, "d")[0].Name]++
+		first[Order(carriers, same, Caller{fmt.Sprint(i), "d"}, "d", locality.Map{})[0].Name]++
 	}
 	for _, i := range carriers {
 		must.Greater(t, 25, first[i.Name], must.Sprint("the callers of a data centre without members share all carriers"))
--- /dev/null
+++ b/internal/placement/regions_test.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/stackspindle/stackspindle/internal/locality"
+	"github.com/stackspindle/stackspindle/internal/ownership"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// twoRegions has three data centres in each of two regions.
+var twoRegions = locality.New(map[string]string{"a": "x", "b": "x", "c": "x", "d": "y", "e": "y", "f": "y"})
+
+// drawFleet returns instances in some data centres.
+func drawFleet(t *rapid.T) []ownership.Instance {
+	var all []ownership.Instance
+	for _, dc := range []string{"a", "b", "c", "d", "e", "f"} {
+		for n := range rapid.IntRange(0, 6).Draw(t, "instances of "+dc) {
+			all = append(all, ownership.Instance{Name: fmt.Sprintf("%s-%d", dc, n), DataCentre: dc})
+		}
+	}
+	return all
+}
+
+// withoutRegions is the choice of carriers as it is where no data centre is farther away
+// than another: two near each member, in rank, and others in rank where some are missing.
+func withoutRegions(g Group, alive []ownership.Instance, most int) []string {
+	left := make(map[string]int)
+	for _, home := range g.Homes {
+		left[home] += PerMember
+	}
+	var names, others []string
+	for _, name := range ownership.Rank(ownership.Group{Name: g.Name}, alive) {
+		if home := name[:1]; left[home] > 0 && len(names) < most {
+			left[home]--
+			names = append(names, name)
+			continue
+		}
+		others = append(others, name)
+	}
+	return append(names, others[:min(most-len(names), len(others))]...)
+}
+
+// A fleet whose settings name one region, or none, has the same carriers, in the same
+// order, as one that knows nothing of regions.
+func TestOneRegionChangesNothing(t *testing.T) {
+	one := locality.New(map[string]string{"a": "x", "b": "x", "c": "x", "d": "x", "e": "x", "f": "x"})
+	same := func(i ownership.Instance) ownership.Instance { return i }
+	rapid.Check(t, func(t *rapid.T) {
+		alive := drawFleet(t)
+		dcs := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
+		g := Group{Name: rapid.StringN(1, 8, -1).Draw(t, "group"), MaxConnections: 58, Homes: rapid.SliceOfN(dcs, 1, 3).Draw(t, "homes")}
+		preferred, caller := dcs.Draw(t, "preferred"), Caller{rapid.StringN(1, 8, -1).Draw(t, "caller"), dcs.Draw(t, "its data centre")}
+		near := func(i ownership.Instance) int {
+			switch i.DataCentre {
+			case preferred:
+				return 0
+			case caller.DataCentre:
+				return 1
+			}
+			return 2
+		}
+		wanted := slices.Clone(alive)
+		slices.SortStableFunc(wanted, func(a, b ownership.Instance) int {
+			return cmp.Or(cmp.Compare(near(a), near(b)), cmp.Compare(ownership.Score(caller.Name, a.Name), ownership.Score(caller.Name, b.Name)))
+		})
+		for _, places := range []locality.Map{{}, one} {
+			c := Place(g, Fleet{Alive: alive, Registered: 500, Places: places})
+			must.SliceEqOp(t, withoutRegions(g, alive, PerMember*len(g.Homes)), c.Names)
+			must.SliceEqOp(t, wanted, Order(alive, same, caller, preferred, places))
+		}
+	})
+}
+
+// The load: callers everywhere, members in some data centres. A read is carried in its
+// caller's region where that has a carrier, and what needs the primary in the primary's
+// data centre, or else its region: neither crosses more than once.
+func TestOrderKeepsToRegions(t *testing.T) {
+	same := func(i ownership.Instance) ownership.Instance { return i }
+	rapid.Check(t, func(t *rapid.T) {
+		carriers := drawFleet(t)
+		dcs := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
+		preferred, caller := dcs.Draw(t, "preferred"), Caller{"x", dcs.Draw(t, "caller")}
+		order := Order(carriers, same, caller, preferred, twoRegions)
+		must.Len(t, len(carriers), order)
+		for i := 1; i < len(order); i++ {
+			before, after := order[i-1].DataCentre, order[i].DataCentre
+			must.LessEq(t, twoRegions.Distance(after, preferred), twoRegions.Distance(before, preferred))
+			if twoRegions.Distance(before, preferred) == twoRegions.Distance(after, preferred) {
+				must.LessEq(t, twoRegions.Distance(after, caller.DataCentre), twoRegions.Distance(before, caller.DataCentre))
+			}
+		}
+	})
+}
+
+// The failure: a data centre with a member is lost with all its instances. Its region keeps
+// as many carriers as long as it has instances.
+func TestRegionsKeepCarriers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		alive := drawFleet(t)
+		homes := []string{"a", "b", "d"}
+		c := Place(Group{Name: rapid.StringN(1, 8, -1).Draw(t, "group"), MaxConnections: 58, Homes: homes},
+			Fleet{Alive: alive, Registered: 500, Places: twoRegions})
+		for region, wanted := range map[string]int{"x": 2 * PerMember, "y": PerMember} {
+			carriers, instances := 0, 0
+			for _, i := range alive {
+				if twoRegions.Region(i.DataCentre) == region {
+					instances++
+					if c.Includes(i.Name) {
+						carriers++
+					}
+				}
+			}
+			must.GreaterEq(t, min(wanted, instances), carriers)
+		}
+		must.Len(t, min(len(alive), PerMember*len(homes)), c.Names)
+		must.Len(t, len(c.Names), slices.Compact(slices.Sorted(slices.Values(c.Names))))
+	})
+}
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/ownership"
 	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -35,16 +36,16 @@
 // Place returns the carriers of each group, as one instance sees them. registered is
 // how many may use connections; where all of them can, this instance does whether its
 // lease holds or not.
-func Place(groups []placement.Group, self lead.Instance, alive []lead.Instance, registered int) map[string]Carriers {
+func Place(groups []placement.Group, self lead.Instance, alive []lead.Instance, registered int, places locality.Map) map[string]Carriers {
 	placed := make(map[string]Carriers, len(groups))
 	byName := make(map[string]lead.Instance, len(alive))
-	candidates := make([]ownership.Instance, 0, len(alive))
+	fleet := placement.Fleet{Alive: make([]ownership.Instance, 0, len(alive)), Registered: registered, Places: places}
 	for _, i := range alive {
 		byName[i.Name] = i
-		candidates = append(candidates, candidate(i))
+		fleet.Alive = append(fleet.Alive, candidate(i))
 	}
 	for _, group := range groups {
-		c := Carriers{Carriers: placement.Place(group, candidates, registered)}
+		c := Carriers{Carriers: placement.Place(group, fleet)}
 		c.Here = c.Includes(self.Name)
 		for _, name := range c.Names {
 			if name != self.Name {
@@ -81,8 +82,9 @@
 func (r *Relay) Carries(group string) bool { return r.CarriersOf(group).Here }
 
 // carrierOrder returns the carriers in the order in which a statement is passed to
-// them. One that needs the primary goes to the primary's data centre, so that it
-// crosses to another only once, and so that what waits for the primary waits at few instances.
+// them. One that needs the primary goes to the primary's data centre, or else its region, so
+// that it crosses to another only once, and so that what waits for the primary waits at few
+// instances. Others stay in the caller's data centre, or else its region.
 //
 // Of those in one data centre each client account has its own first, since the connections
 // that they hold belong to accounts: a carrier finds one open the more often, the
@@ -92,7 +94,7 @@
 	if authority, err := r.Gate(group).Authority(); err == nil && needsPrimary {
 		preferred = r.snapshot().Members[authority.Primary].DataCentre
 	}
-	return placement.Order(c.Others, candidate, placement.Caller{Name: cmp.Or(account, r.self), DataCentre: r.near}, preferred)
+	return placement.Order(c.Others, candidate, placement.Caller{Name: cmp.Or(account, r.self), DataCentre: r.near}, preferred, r.places)
 }
 
 // StartCarrying lets this instance run statements for others. Before that it has not
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/routing"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -59,6 +60,7 @@
 func (a *attempt) candidates() []routing.Candidate {
 	relay := a.s.relay
 	authority, err := a.gate.Authority()
+	usual := a.group.usual(kindOf(a.route))
 	var candidates []routing.Candidate
 	for _, m := range relay.snapshot().ByGroup[a.route.Group] {
 		up := relay.upstreams.get(m.ID)
@@ -66,7 +68,8 @@
 			continue
 		}
 		c := up.view(a.now())
-		c.Near = m.DataCentre == relay.near
+		c.Distance = relay.places.Distance(m.DataCentre, relay.near)
+		c.Slots, c.Work = m.Slots/placement.PerMember, usual
 		if err == nil && m.ID == authority.Primary {
 			c.Primary = true
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/logs"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/statement"
@@ -20,6 +21,7 @@
 	started   time.Time
 	self      string // the instance's name
 	near      string // its data centre
+	places    locality.Map
 	topology  func() *topology.Snapshot
 	current   func() bool // the store was heard of lately enough to know what does not exist
 	upstreams *Upstreams
@@ -41,6 +43,7 @@
 type Config struct {
 	Started  time.Time     // from which the relay's times count, on the steady clock
 	Self     lead.Instance // this instance
+	Places   locality.Map  // how far data centres lie from one another
 	Topology func() *topology.Snapshot
 	// Current reports whether the topology was confirmed lately enough that what it does
 	// not hold does not exist.
@@ -55,7 +58,7 @@
 // New returns a relay.
 func New(cfg Config) *Relay {
 	r := &Relay{
-		started: cfg.Started, self: cfg.Self.Name, near: cfg.Self.DataCentre, topology: cfg.Topology, current: cfg.Current,
+		started: cfg.Started, self: cfg.Self.Name, near: cfg.Self.DataCentre, places: cfg.Places, topology: cfg.Topology, current: cfg.Current,
 		limiter: cfg.Limiter, upstreams: cfg.Upstreams, log: cfg.Log, set: cfg.Metrics,
 		gates: make(map[string]*lead.Gate),
 	}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/statement"
@@ -67,7 +68,7 @@
 
 // placedFor returns the placement before a number of registered instances.
 func placedFor(snap *topology.Snapshot, registered int) map[string]Carriers {
-	return Place(Groups(snap), lead.Instance{}, nil, registered)
+	return Place(Groups(snap), lead.Instance{}, nil, registered, locality.Map{})
 }
 
 // run has a session answer a statement that arrives now.
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/locality"
 )
 
 // Candidate is a member that might serve a read, as one instance among several
@@ -12,13 +13,15 @@
 type Candidate struct {
 	ID       string
 	Primary  bool
-	Near     bool           // in the instance's data centre
-	Draining bool           // gets no new work
-	Usable   bool           // answered when it was last asked
-	Refused  bool           // could not serve a read for want of log a moment ago
-	Position group.Position // end of its log as last told
-	Behind   time.Duration  // how long ago the primary was there; negative: not known
-	Load     int            // requests of this instance that it holds or that wait for it
+	Distance locality.Distance // from the instance
+	Draining bool              // gets no new work
+	Usable   bool              // answered when it was last asked
+	Refused  bool              // could not serve a read for want of log a moment ago
+	Position group.Position    // end of its log as last told
+	Behind   time.Duration     // how long ago the primary was there; negative: not known
+	Load     int               // requests of this instance that it holds or that wait for it
+	Slots    int               // of the member's that this instance may count on
+	Work     time.Duration     // that such a read usually takes; 0: not known
 }
 
 // Weights of Order, in half requests waiting.
@@ -28,8 +31,12 @@
 	farPenalty     = 1 // bytes between data centres are charged, and take longer
 )
 
+// regionTrip is what a read is taken to spend on the way to another region and back.
+const regionTrip = 25 * time.Millisecond
+
 // Order returns the members that may serve a read, best first: the least loaded,
-// near replicas before others. The required position was the end of the
+// near replicas before others, and those of other regions once the near ones have
+// so much to do that the way there takes less time. The required position was the end of the
 // primary's log an age ago. A replica that should not hold it yet comes after the
 // primary, and one that has just said so is left out. Members that did not answer
 // come last.
@@ -68,8 +75,23 @@
 	if c.Primary {
 		cost += primaryPenalty
 	}
-	if !c.Near {
+	switch c.Distance {
+	case locality.SameRegion:
 		cost += farPenalty
+	case locality.OtherRegion:
+		cost += farPenalty + crossing(c)
 	}
 	return cost
 }
+
+// crossing is what the way to a member of another region costs. A near member that has
+// fewer requests than that either runs them all at once, or has run them in less
+// time than the way takes.
+func crossing(c Candidate) int {
+	slots := max(1, c.Slots)
+	waiting := slots
+	if c.Work > 0 {
+		waiting = int((time.Duration(slots)*regionTrip + c.Work - 1) / c.Work)
+	}
+	return (slots + waiting) * perRequest
+}
--- a/internal/routing/candidates_test.go
+++ b/internal/routing/candidates_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/locality"
 )
 
 func TestOrder(t *testing.T) {
@@ -24,7 +26,7 @@
 		"an idle primary before busy replicas": {
 			[]Candidate{{ID: "a", Usable: true, Position: at(5), Load: 1}, {ID: "p", Primary: true, Usable: true}}, []string{"p", "a"}},
 		"near ones first": {
-			[]Candidate{{ID: "a", Usable: true, Position: at(5)}, {ID: "b", Near: true, Usable: true, Position: at(5)}}, []string{"b", "a"}},
+			[]Candidate{{ID: "a", Distance: locality.SameRegion, Usable: true, Position: at(5)}, {ID: "b", Usable: true, Position: at(5)}}, []string{"b", "a"}},
 		"after the primary when the position should not have come yet": {
 			[]Candidate{{ID: "a", Usable: true, Position: at(4), Behind: age + 1}, {ID: "p", Primary: true, Usable: true, Load: 3}}, []string{"p", "a"}},
 		"before it when it should": {
@@ -40,3 +42,42 @@
 		t.Run(name, func(t *testing.T) { must.Eq(t, c.want, ids(Order(c.candidates, at(5), age))) })
 	}
 }
+
+// A read stays in its region until the members there have so much to do that the way to
+// another region takes less time, or one of them fails.
+func TestOrderAmongRegions(t *testing.T) {
+	const age = 100 * time.Millisecond
+	here := func(load int) Candidate {
+		return Candidate{ID: "here", Usable: true, Position: at(5), Load: load, Slots: 3}
+	}
+	there := Candidate{ID: "there", Distance: locality.OtherRegion, Usable: true, Position: at(5), Slots: 3, Work: regionTrip}
+	primary := func(load int) Candidate {
+		return Candidate{ID: "primary", Primary: true, Distance: locality.SameRegion, Usable: true, Load: load, Slots: 3}
+	}
+	for name, c := range map[string]struct {
+		candidates []Candidate
+		want       string
+	}{
+		"idle":                                    {[]Candidate{there, here(0)}, "here"},
+		"as much as runs at once":                 {[]Candidate{there, here(3)}, "here"},
+		"as long a wait as the way":               {[]Candidate{there, here(6)}, "here"},
+		"a longer wait than the way":              {[]Candidate{there, here(7)}, "there"},
+		"the primary of this region":              {[]Candidate{there, primary(4)}, "primary"},
+		"a primary with more than it can run":     {[]Candidate{there, primary(9)}, "there"},
+		"a replica of this region, and a primary": {[]Candidate{primary(0), there, here(0)}, "here"},
+		"the one here does not answer":            {[]Candidate{{ID: "here", Position: at(5)}, there}, "there"},
+		"the one here is behind":                  {[]Candidate{{ID: "here", Usable: true, Position: at(4), Behind: 2 * age}, there}, "there"},
+		"the one here is about to hold it":        {[]Candidate{{ID: "here", Usable: true, Position: at(4), Behind: age}, there}, "here"},
+	} {
+		t.Run(name, func(t *testing.T) { must.Eq(t, c.want, Order(c.candidates, at(5), age)[0].ID) })
+	}
+}
+
+// The shorter the work is against the way, the more of it waits here rather than cross.
+func TestCrossingCostsWhatTheWayTakes(t *testing.T) {
+	short := crossing(Candidate{Slots: 3, Work: regionTrip / 5})
+	long := crossing(Candidate{Slots: 3, Work: 5 * regionTrip})
+	must.Greater(t, long, short)
+	must.Greater(t, 3*perRequest, long, must.Sprint("at least what runs at once"))
+	must.Greater(t, 0, crossing(Candidate{}), must.Sprint("nothing is known"))
+}
