Reads try a replica again that was behind; what passes between regions is counted

A replica that was once told to be further behind than a read allows ranks after the primary, and what was told of it was never older than too old: as long as the primary had room nobody asked the replica again, so that it could not show that it had caught up. What is 250 ms old does not count any more, and a read tries the replica; one that is still behind says so and rests as before. The test has a replica 6 s behind for 6 s.

stackspindle_peer_messages_total and _bytes_total count calls to other instances by method and distance, stackspindle_member_answers_total answers of members with their distance, and two log lines tell the same each 5 s.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -48,6 +48,7 @@
 			continue
 		case <-report.C:
 			i.upstreams.Report(i.part("relay"))
+			i.reportCrossing()
 		case <-i.ctx.Done():
 			return nil
 		}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -128,6 +128,8 @@
 	background *ants.Pool
 	peers      *grpc.Server
 	conns      *peerconn.Conns // to other instances
+	traffic    *peerconn.Traffic
+	crossed    map[string]peerconn.Tally // to other regions until the last report; of the control goroutine
 	servers    []*http.Server
 
 	callerAddr string // both set by Start
@@ -171,7 +173,10 @@
 	if i.background, err = ants.NewPool(backgroundTasks, ants.WithNonblocking(true)); err != nil {
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
+	i.traffic = peerconn.NewTraffic(i.set, i.distanceTo)
+	i.conns.Count(i.traffic)
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
+	i.upstreams.Locate(settings.Places)
 	i.limiter = limits.New(limits.Config{
 		Self: i.self, Rules: settings.Limits, Accounts: i.accounts, Conns: i.conns,
 		Now: i.now, Spawn: i.spawn, Log: i.part("limits"), Metrics: i.set,
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -67,7 +67,8 @@
 
 // Conns holds the connections. It is safe for concurrent use.
 type Conns struct {
-	now func() time.Time
+	now     func() time.Time
+	traffic *Traffic // nil: nothing is counted
 
 	mu       sync.Mutex // guards the maps
 	conns    map[string]*grpc.ClientConn
@@ -101,6 +102,9 @@
 	return &Conns{now: time.Now, conns: make(map[string]*grpc.ClientConn), renewals: make(map[string]*renewal)}
 }
 
+// Count has the calls counted. It is called before the first connection is used.
+func (c *Conns) Count(t *Traffic) { c.traffic = t }
+
 // Get returns the connection to an address.
 func (c *Conns) Get(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
@@ -108,7 +112,7 @@
 	if conn := c.conns[address]; conn != nil {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := append(c.traffic.options(address),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: connectBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff},
@@ -118,6 +122,7 @@
 		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithUnaryInterceptor(c.renewSilent(address)),
 	)
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, fmt.Errorf("instance at %s: %w", address, err)
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -68,7 +68,6 @@
 			continue
 		}
 		c := up.view(a.now())
-		c.Distance = relay.places.Distance(m.DataCentre, relay.near)
 		c.Slots, c.Work = m.Slots/placement.PerMember, usual
 		if err == nil && m.ID == authority.Primary {
 			c.Primary = true
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -10,6 +10,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/pacing"
 	"github.com/stackspindle/stackspindle/internal/routing"
@@ -25,10 +26,13 @@
 
 	mu       sync.Mutex // guards the rest
 	draining bool
-	carried  bool // this instance is a carrier of the group, or none is known
+	distance locality.Distance // from this instance
+	answered uint64            // in all
+	carried  bool              // this instance is a carrier of the group, or none is known
 	health   member.Health
 	position group.Position // end of its log, as its answers told
 	behind   time.Duration  // how long ago the primary was there; negative: not known
+	behindAt time.Duration  // when that was told
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
 	lagSince time.Duration  // when the first of them was
@@ -50,6 +54,7 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Answered(now)
+	up.answered++
 	up.recent.answered++
 	up.recent.took += now - asked
 	up.recent.longest = max(up.recent.longest, now-asked)
@@ -84,7 +89,7 @@
 func (up *upstream) noteProgress(behind time.Duration, lagging bool, now time.Duration) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	up.behind = behind
+	up.behind, up.behindAt = behind, now
 	if !lagging {
 		up.lagged = 0
 		return
@@ -112,11 +117,13 @@
 	defer up.mu.Unlock()
 	return routing.Candidate{
 		ID:       up.id,
+		Distance: up.distance,
 		Draining: up.draining,
 		Usable:   up.health.Usable(now),
 		Refused:  now < up.lagUntil,
 		Position: up.position,
 		Behind:   up.behind,
+		Seen:     now - up.behindAt,
 		Load:     up.pool.Load(),
 	}
 }
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -16,6 +16,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/pacing"
 	"github.com/stackspindle/stackspindle/internal/pool"
@@ -48,6 +49,7 @@
 type Upstreams struct {
 	dialer member.Dialer
 	now    func() time.Duration
+	places locality.Map
 
 	mu      sync.Mutex // guards the maps
 	members map[string]*upstream
@@ -64,8 +66,8 @@
 	}
 }
 
-// Update takes in the members as they are now, and how much of each an instance in a
-// data centre may use.
+// Update takes in the members as they are now, how much of each an instance in a
+// data centre may use, and how far they are from it.
 func (u *Upstreams) Update(snap *topology.Snapshot, placed map[string]Carriers, dataCentre string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -88,6 +90,7 @@
 		carriers, known := placed[m.Group]
 		up.mu.Lock()
 		up.draining, up.carried = m.Draining, carriers.Here || !known
+		up.distance = u.places.Distance(m.DataCentre, dataCentre)
 		up.mu.Unlock()
 	}
 }
@@ -136,6 +139,9 @@
 	return g
 }
 
+// Locate tells how far data centres lie from one another. It is called before the first Update.
+func (u *Upstreams) Locate(places locality.Map) { u.places = places }
+
 // Doubtful reports whether a member has left an attempt unanswered since its last
 // answer.
 func (u *Upstreams) Doubtful(id string) bool {
@@ -208,14 +214,14 @@
 	defer u.mu.Unlock()
 	for id, up := range u.members {
 		up.mu.Lock()
-		recent, behind, share := up.recent, up.behind, up.window.Share()
+		recent, behind, share, distance := up.recent, up.behind, up.window.Share(), up.distance
 		up.recent = tally{}
 		up.mu.Unlock()
 		if recent == (tally{}) {
 			continue
 		}
 		log.WithFields(logrus.Fields{
-			"group": up.group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
+			"group": up.group, "member": id, "distance": distance.String(), "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
 			"share": math.Round(100*share) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
@@ -228,7 +234,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, up := range u.members {
+		up.mu.Lock()
+		distance, answered := up.distance, up.answered
+		up.mu.Unlock()
 		labels := `{group="` + up.group + `",member="` + id + `"}`
+		metrics.WriteCounterUint64(w, `stackspindle_member_answers_total{group="`+up.group+`",member="`+id+`",distance="`+distance.String()+`"}`, answered)
 		metrics.WriteGaugeUint64(w, "stackspindle_member_connections"+labels, uint64(up.pool.Open()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_in_use"+labels, uint64(up.pool.InUse()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_waiting"+labels, uint64(up.pool.Waiting()))
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -19,6 +19,7 @@
 	Refused  bool              // could not serve a read for want of log a moment ago
 	Position group.Position    // end of its log as last told
 	Behind   time.Duration     // how long ago the primary was there; negative: not known
+	Seen     time.Duration     // how long ago Behind was told
 	Load     int               // requests of this instance that it holds or that wait for it
 	Slots    int               // of the member's that this instance may count on
 	Work     time.Duration     // that such a read usually takes; 0: not known
@@ -31,6 +32,10 @@
 	farPenalty     = 1 // bytes between data centres are charged, and take longer
 )
 
+// trialAfter is how old the knowledge that a replica is behind may be before a read tries
+// it again: one that nobody asks cannot show that it has caught up.
+const trialAfter = 250 * time.Millisecond
+
 // regionTrip is what a read is taken to spend on the way to another region and back.
 const regionTrip = 25 * time.Millisecond
 
@@ -64,7 +69,7 @@
 	switch {
 	case !c.Usable:
 		return 2
-	case c.Primary || !c.Position.Less(required) || c.Behind < 0 || age >= c.Behind:
+	case c.Primary || !c.Position.Less(required) || c.Behind < 0 || age >= c.Behind || c.Seen >= trialAfter:
 		return 0
 	}
 	return 1
--- a/internal/routing/candidates_test.go
+++ b/internal/routing/candidates_test.go
@@ -31,6 +31,10 @@
 			[]Candidate{{ID: "a", Usable: true, Position: at(4), Behind: age + 1}, {ID: "p", Primary: true, Usable: true, Load: 3}}, []string{"p", "a"}},
 		"before it when it should": {
 			[]Candidate{{ID: "a", Usable: true, Position: at(4), Behind: age}, {ID: "p", Primary: true, Usable: true}}, []string{"a", "p"}},
+		"before it when it has not been asked for long": {
+			[]Candidate{{ID: "a", Usable: true, Position: at(4), Behind: time.Hour, Seen: trialAfter}, {ID: "p", Primary: true, Usable: true}}, []string{"a", "p"}},
+		"after it when it was asked a moment ago": {
+			[]Candidate{{ID: "a", Usable: true, Position: at(4), Behind: time.Hour, Seen: trialAfter - 1}, {ID: "p", Primary: true, Usable: true}}, []string{"p", "a"}},
 		"before it when nothing is known": {
 			[]Candidate{{ID: "a", Usable: true, Position: at(4), Behind: -1}, {ID: "p", Primary: true, Usable: true}}, []string{"a", "p"}},
 		"not after a refusal": {
@@ -81,3 +85,33 @@
 	must.Greater(t, 3*perRequest, long, must.Sprint("at least what runs at once"))
 	must.Greater(t, 0, crossing(Candidate{}), must.Sprint("nothing is known"))
 }
+
+// The failure: a replica falls far behind for a while, and nobody who would ask it for
+// anything else is left. Once it has caught up reads come back to it, and while it has not
+// it is tried seldom.
+func TestReplicaThatCaughtUpServesAgain(t *testing.T) {
+	const (
+		age      = 100 * time.Millisecond
+		lagging  = 6 * time.Second
+		interval = 10 * time.Millisecond // between two reads
+	)
+	replica := Candidate{ID: "r", Usable: true}
+	primary := Candidate{ID: "p", Primary: true, Usable: true}
+	told, tried, served := time.Duration(0), 0, 0
+	replica.Behind = lagging
+	for now := time.Duration(0); now < 2*lagging; now += interval {
+		replica.Seen = now - told
+		if Order([]Candidate{replica, primary}, at(5), age)[0].ID != "r" {
+			continue
+		}
+		told = now
+		if now < lagging {
+			tried++
+			continue
+		}
+		served++
+		replica.Position, replica.Behind = at(5), 0
+	}
+	must.LessEq(t, int(lagging/trialAfter), tried)
+	must.Greater(t, int(lagging/interval)/2, served)
+}
