--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -140,34 +140,18 @@
 
 // Order sorts carriers into the order in which an instance passes statements to them:
 // by their distance to the preferred data centre, then by that to its own.
-// Among equals each instance begins with another one, so that the carriers share the work,
-// by their weights.
+// Among equals each instance begins with another one, so that the carriers share the work.
+// They do so evenly, also where one is stronger: what an instance may have running at a member
+// is bounded, so that one with most of the statements would hold back what the member could run.
 func Order[C any](carriers []C, of func(C) ownership.Instance, caller Caller, preferred string, places locality.Map) []C {
-	type ranked struct {
-		carrier             C
-		toPreferred, toSelf locality.Distance
-		draw                ownership.Draw
-	}
-	instances := make([]ownership.Instance, len(carriers))
-	for n, c := range carriers {
-		instances[n] = of(c)
-	}
-	weights := ownership.Weigh(instances)
-	order := make([]ranked, len(carriers))
-	for n, i := range instances {
-		order[n] = ranked{
-			carrier:     carriers[n],
-			toPreferred: places.Distance(i.DataCentre, preferred),
-			toSelf:      places.Distance(i.DataCentre, caller.DataCentre),
-			draw:        weights.Draw(^ownership.Score(caller.Name, i.Name), i),
-		}
-	}
-	slices.SortStableFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.toPreferred, b.toPreferred), cmp.Compare(a.toSelf, b.toSelf), a.draw.Compare(b.draw))
+	sorted := slices.Clone(carriers)
+	slices.SortStableFunc(sorted, func(a, b C) int {
+		ia, ib := of(a), of(b)
+		return cmp.Or(
+			cmp.Compare(places.Distance(ia.DataCentre, preferred), places.Distance(ib.DataCentre, preferred)),
+			cmp.Compare(places.Distance(ia.DataCentre, caller.DataCentre), places.Distance(ib.DataCentre, caller.DataCentre)),
+			cmp.Compare(ownership.Score(caller.Name, ia.Name), ownership.Score(caller.Name, ib.Name)),
+		)
 	})
-	sorted := make([]C, len(order))
-	for n, r := range order {
-		sorted[n] = r.carrier
-	}
 	return sorted
 }
