Routing: a read that has just come waits for room at a replica of its region before it crosses

Now it looks at members of other regions once it has waited for as long as the way there and back takes, or the near replica has more to do than that, lags, or does not answer.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/routing"
 	"github.com/stackspindle/stackspindle/internal/statement"
@@ -69,6 +70,7 @@
 		}
 		c := up.view(a.now())
 		c.Slots, c.Work = m.Slots/placement.PerMember, usual
+		c.Spared = c.Distance == locality.OtherRegion && a.now()-a.arrived < routing.RegionTrip
 		if err == nil && m.ID == authority.Primary {
 			c.Primary = true
 		}
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -23,6 +23,7 @@
 	Load     int               // requests of this instance that it holds or that wait for it
 	Slots    int               // of the member's that this instance may count on
 	Work     time.Duration     // that such a read usually takes; 0: not known
+	Spared   bool              // left out while a replica that should serve comes first
 }
 
 // Weights of Order, in half requests waiting.
@@ -36,15 +37,16 @@
 // it again: one that nobody asks cannot show that it has caught up.
 const trialAfter = 250 * time.Millisecond
 
-// regionTrip is what a read is taken to spend on the way to another region and back.
-const regionTrip = 25 * time.Millisecond
+// RegionTrip is what a read is taken to spend on the way to another region and back. It
+// waits at least as long for room at a member of its own.
+const RegionTrip = 25 * time.Millisecond
 
 // Order returns the members that may serve a read, best first: the least loaded,
 // near replicas before others, and those of other regions once the near ones have
 // so much to do that the way there takes less time. The required position was the end of the
 // primary's log an age ago. A replica that should not hold it yet comes after the
 // primary, and one that has just said so is left out. Members that did not answer
-// come last.
+// come last. Those to be spared are left out where a replica that should serve comes first.
 func Order(candidates []Candidate, required group.Position, age time.Duration) []Candidate {
 	var order []Candidate
 	for _, c := range candidates {
@@ -60,6 +62,9 @@
 		}
 		return cost(a) - cost(b)
 	})
+	if len(order) > 0 && !order[0].Spared && !order[0].Primary && rank(order[0], required, age) == 0 {
+		order = slices.DeleteFunc(order, func(c Candidate) bool { return c.Spared })
+	}
 	return order
 }
 
@@ -96,7 +101,7 @@
 	slots := max(1, c.Slots)
 	waiting := slots
 	if c.Work > 0 {
-		waiting = int((time.Duration(slots)*regionTrip + c.Work - 1) / c.Work)
+		waiting = int((time.Duration(slots)*RegionTrip + c.Work - 1) / c.Work)
 	}
 	return (slots + waiting) * perRequest
 }
--- a/internal/routing/candidates_test.go
+++ b/internal/routing/candidates_test.go
@@ -54,7 +54,7 @@
 	here := func(load int) Candidate {
 		return Candidate{ID: "here", Usable: true, Position: at(5), Load: load, Slots: 3}
 	}
-	there := Candidate{ID: "there", Distance: locality.OtherRegion, Usable: true, Position: at(5), Slots: 3, Work: regionTrip}
+	there := Candidate{ID: "there", Distance: locality.OtherRegion, Usable: true, Position: at(5), Slots: 3, Work: RegionTrip}
 	primary := func(load int) Candidate {
 		return Candidate{ID: "primary", Primary: true, Distance: locality.SameRegion, Usable: true, Load: load, Slots: 3}
 	}
@@ -77,10 +77,38 @@
 	}
 }
 
+// The load: the replica of this region has no connection free at once. A read that has just
+// come waits for it rather than cross; once that replica has too much to do, is behind or
+// does not answer, the read crosses. Where this region has the primary only, whose slots are
+// for writes first, it does not wait either.
+func TestOrderSparesOtherRegions(t *testing.T) {
+	const age = 100 * time.Millisecond
+	there := Candidate{ID: "there", Distance: locality.OtherRegion, Usable: true, Position: at(5), Slots: 3, Spared: true}
+	for name, c := range map[string]struct {
+		here Candidate
+		want []string
+	}{
+		"serves":         {Candidate{ID: "here", Usable: true, Position: at(5), Load: 3}, []string{"here"}},
+		"is the primary": {Candidate{ID: "here", Usable: true, Primary: true}, []string{"here", "there"}},
+		"too much to do": {Candidate{ID: "here", Usable: true, Position: at(5), Load: 20}, []string{"there", "here"}},
+		"behind":         {Candidate{ID: "here", Usable: true, Position: at(4), Behind: 2 * age}, []string{"there", "here"}},
+		"silent":         {Candidate{ID: "here", Position: at(5)}, []string{"there", "here"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var order []string
+			for _, candidate := range Order([]Candidate{there, c.here}, at(5), age) {
+				order = append(order, candidate.ID)
+			}
+			must.Eq(t, c.want, order)
+		})
+	}
+	must.Len(t, 1, Order([]Candidate{there}, at(5), age))
+}
+
 // The shorter the work is against the way, the more of it waits here rather than cross.
 func TestCrossingCostsWhatTheWayTakes(t *testing.T) {
-	short := crossing(Candidate{Slots: 3, Work: regionTrip / 5})
-	long := crossing(Candidate{Slots: 3, Work: 5 * regionTrip})
+	short := crossing(Candidate{Slots: 3, Work: RegionTrip / 5})
+	long := crossing(Candidate{Slots: 3, Work: 5 * RegionTrip})
 	must.Greater(t, long, short)
 	must.Greater(t, 3*perRequest, long, must.Sprint("at least what runs at once"))
 	must.Greater(t, 0, crossing(Candidate{}), must.Sprint("nothing is known"))
