Members that fail part of what they are sent get a smaller share of the reads

Any answer made a member as good as new, so one that reset every other statement kept all its share but for pauses of 0.2 s. Package outlier averages failures over some 16 attempts and has a member take part in as many choices as the fourth power of what works of it, against the best of the group; at least one in ten, so that it comes back by trial, step by step. At most half of a group's members get less: what all have in common is not theirs.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -7,6 +7,7 @@
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/locality"
+	"github.com/stackspindle/stackspindle/internal/outlier"
 	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/routing"
 	"github.com/stackspindle/stackspindle/internal/statement"
@@ -76,9 +77,23 @@
 		}
 		candidates = append(candidates, c)
 	}
+	relay.deferOutliers(candidates)
 	return candidates
 }
 
+// deferOutliers leaves members that fail more than others out of a part of the choices.
+func (r *Relay) deferOutliers(candidates []routing.Candidate) {
+	failing := make([]float64, len(candidates))
+	for n, c := range candidates {
+		failing[n] = c.Failing
+	}
+	for n, share := range outlier.Shares(failing) {
+		if up := r.upstreams.get(candidates[n].ID); up != nil {
+			candidates[n].Deferred = !up.takesPart(share)
+		}
+	}
+}
+
 func (a *attempt) tryOne(c routing.Candidate, required group.Position, waitUntil time.Duration, others bool) (statement.Answer, outcome) {
 	if c.Primary {
 		return a.tryPrimary(waitUntil)
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -12,6 +12,7 @@
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/outlier"
 	"github.com/stackspindle/stackspindle/internal/pacing"
 	"github.com/stackspindle/stackspindle/internal/routing"
 )
@@ -30,6 +31,8 @@
 	answered uint64            // in all
 	carried  bool              // this instance is a carrier of the group, or none is known
 	health   member.Health
+	failing  outlier.Failing
+	turns    outlier.Turns  // of the choices in which the member takes part
 	position group.Position // end of its log, as its answers told
 	behind   time.Duration  // how long ago the primary was there; negative: not known
 	behindAt time.Duration  // when that was told
@@ -54,6 +57,7 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Answered(now)
+	up.failing.Answered()
 	up.answered++
 	up.recent.answered++
 	up.recent.took += now - asked
@@ -67,9 +71,18 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Missed(now)
+	up.failing.Failed()
 	up.recent.unheard++
 }
 
+// takesPart reports whether the member takes part in the next choice, which it does in a share
+// of them.
+func (up *upstream) takesPart(share float64) bool {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.turns.Next(share)
+}
+
 // isCarried reports whether this instance is to hold connections to the member.
 func (up *upstream) isCarried() bool {
 	up.mu.Lock()
@@ -124,6 +137,7 @@
 		Position: up.position,
 		Behind:   up.behind,
 		Seen:     now - up.behindAt,
+		Failing:  up.failing.Part(),
 		Load:     up.pool.Load(),
 	}
 }
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -214,7 +214,7 @@
 	defer u.mu.Unlock()
 	for id, up := range u.members {
 		up.mu.Lock()
-		recent, behind, share, distance := up.recent, up.behind, up.window.Share(), up.distance
+		recent, behind, share, distance, failing := up.recent, up.behind, up.window.Share(), up.distance, up.failing.Part()
 		up.recent = tally{}
 		up.mu.Unlock()
 		if recent == (tally{}) {
@@ -224,7 +224,7 @@
 			"group": up.group, "member": id, "distance": distance.String(), "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
-			"share": math.Round(100*share) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
+			"share": math.Round(100*share) / 100, "failing": math.Round(100*failing) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
 		}).Info("relay: a member since the last report")
 	}
 }
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -24,6 +24,8 @@
 	Slots    int               // of the member's that this instance may count on
 	Work     time.Duration     // that such a read usually takes; 0: not known
 	Spared   bool              // left out while a replica that should serve comes first
+	Failing  float64           // part of what it was sent that lately failed
+	Deferred bool              // takes no part in this choice, since it fails more than others
 }
 
 // Weights of Order, in half requests waiting.
@@ -74,6 +76,8 @@
 	switch {
 	case !c.Usable:
 		return 2
+	case c.Deferred:
+		return 1
 	case c.Primary || !c.Position.Less(required) || c.Behind < 0 || age >= c.Behind || c.Seen >= trialAfter:
 		return 0
 	}
--- a/internal/routing/candidates_test.go
+++ b/internal/routing/candidates_test.go
@@ -39,6 +39,9 @@
 			[]Candidate{{ID: "a", Usable: true, Position: at(4), Behind: -1}, {ID: "p", Primary: true, Usable: true}}, []string{"a", "p"}},
 		"not after a refusal": {
 			[]Candidate{{ID: "a", Usable: true, Refused: true, Position: at(4)}, {ID: "b", Usable: true, Refused: true, Position: at(5)}}, []string{"b"}},
+		"one that fails more than others in its turn only": {
+			[]Candidate{{ID: "a", Usable: true, Deferred: true, Position: at(5)}, {ID: "p", Primary: true, Usable: true, Load: 9}, {ID: "u", Position: at(5)}},
+			[]string{"p", "a", "u"}},
 		"unusable last, draining never, but for a primary": {
 			[]Candidate{{ID: "d", Draining: true, Usable: true}, {ID: "u", Position: at(9)}, {ID: "p", Primary: true, Draining: true, Usable: true},
 				{ID: "a", Usable: true, Position: at(5), Load: 9}}, []string{"p", "a", "u"}},
@@ -93,6 +96,7 @@
 		"too much to do": {Candidate{ID: "here", Usable: true, Position: at(5), Load: 20}, []string{"there", "here"}},
 		"behind":         {Candidate{ID: "here", Usable: true, Position: at(4), Behind: 2 * age}, []string{"there", "here"}},
 		"silent":         {Candidate{ID: "here", Position: at(5)}, []string{"there", "here"}},
+		"fails more":     {Candidate{ID: "here", Usable: true, Position: at(5), Deferred: true}, []string{"there", "here"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var order []string
