--- /dev/null
+++ b/internal/relay/choose_test.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/locality"
+	"github.com/stackspindle/stackspindle/internal/routing"
+	"github.com/stackspindle/stackspindle/internal/topology"
+)
+
+// The load: a read of one region, of a group with a member in each. It is to stay while it
+// has just come, and may cross once it has waited for as long as the way takes.
+func TestCandidatesOfAnotherRegion(t *testing.T) {
+	b := newBench(t)
+	snap := *b.snap
+	snap.Members = maps.Clone(snap.Members)
+	snap.ByGroup = map[string][]topology.Member{}
+	for id, dataCentre := range map[string]string{"m1": "a", "m2": "b"} {
+		m := snap.Members[id]
+		m.DataCentre, m.Slots = dataCentre, 6
+		snap.Members[id] = m
+		snap.ByGroup["g"] = append(snap.ByGroup["g"], m)
+	}
+	b.snap = &snap
+	b.relay.near, b.relay.places = "a", locality.New(map[string]string{"a": "x", "b": "y"})
+	b.relay.upstreams.Locate(b.relay.places)
+	b.relay.upstreams.Update(&snap, placedFor(&snap, 1), "a")
+	of := func(waited time.Duration) map[string]routing.Candidate {
+		a := &attempt{
+			s: newSession(b.relay, Start{Database: "bounded"}), route: snap.Databases["bounded"],
+			group: b.relay.upstreams.group("g"), gate: b.gate, arrived: b.relay.now() - waited,
+		}
+		byID := make(map[string]routing.Candidate)
+		for _, c := range a.candidates() {
+			byID[c.ID] = c
+		}
+		return byID
+	}
+	justCome, waited := of(-generous), of(routing.RegionTrip) // however slow the test is
+	must.Eq(t, locality.SameDataCentre, justCome["m1"].Distance)
+	must.Eq(t, locality.OtherRegion, justCome["m2"].Distance)
+	must.True(t, justCome["m1"].Primary && !justCome["m1"].Spared)
+	must.True(t, justCome["m2"].Spared)
+	must.False(t, waited["m2"].Spared)
+}
+
+// The failure: a member answers every other attempt only. It takes part in fewer choices than
+// the other one, and in some.
+func TestCandidatesThatFail(t *testing.T) {
+	b := newBench(t)
+	bad := b.relay.upstreams.get("m2")
+	for range 50 {
+		bad.noteMiss(0)
+		bad.noteAnswer(0, 0, bad.position)
+	}
+	a := &attempt{
+		s: newSession(b.relay, Start{Database: "bounded"}), route: b.snap.Databases["bounded"],
+		group: b.relay.upstreams.group("g"), gate: b.gate,
+	}
+	const choices = 200
+	deferred := make(map[string]int)
+	for range choices {
+		for _, c := range a.candidates() {
+			if c.Deferred {
+				deferred[c.ID]++
+			}
+		}
+	}
+	must.Eq(t, 0, deferred["m1"])
+	must.Between(t, choices/2, deferred["m2"], choices-1)
+}
