--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -285,9 +285,11 @@
 	view := i.view.Load()
 	now := sharing{groups: relay.Groups(snap), alive: view.Alive(), registered: len(view.Registered(i.now()))}
 	if i.placed == nil || !now.equal(i.shared) {
+		before := i.placed
 		i.shared = now
 		i.placed = relay.Place(now.groups, i.self, now.alive, now.registered, i.settings.Places)
 		i.relay.SetCarriers(i.placed)
+		i.reportPlacement(before)
 	}
 	i.upstreams.Update(snap, i.placed, i.self.DataCentre)
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -29,6 +29,7 @@
 	"github.com/stackspindle/stackspindle/internal/limits"
 	"github.com/stackspindle/stackspindle/internal/limits/limitspb"
 	"github.com/stackspindle/stackspindle/internal/locality"
+	"github.com/stackspindle/stackspindle/internal/logs"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/placement"
@@ -103,6 +104,7 @@
 	started  time.Time
 	set      *metrics.Set
 	ring     *timeline.Ring
+	sampler  *logs.Limiter // of log lines
 
 	topology       atomic.Pointer[topology.Snapshot]
 	view           atomic.Pointer[lead.View]
@@ -168,6 +170,7 @@
 		known:   make(chan struct{}),
 		conns:   peerconn.New(),
 	}
+	i.sampler = logs.NewLimiter(i.now)
 	i.topology.Store(topology.New(memberGrace, departedMemory).Snapshot())
 	i.view.Store(lead.NewView())
 	i.ctx, i.cancel = context.WithCancel(context.Background())
