--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,9 +4,12 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +22,7 @@
 	"github.com/stackspindle/stackspindle/internal/findings"
 	"github.com/stackspindle/stackspindle/internal/membership"
 	"github.com/stackspindle/stackspindle/internal/owner"
+	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/quota"
 )
 
@@ -36,6 +40,10 @@
 type Settings struct {
 	Name       string
 	DataCentre string
+	Region     string            // of the data centre; empty: as Regions says
+	Regions    map[string]string // region by data centre; empty: there is one region
+
+	Capacity Capacity
 
 	CallerListen string
 	Caller       caller.Options
@@ -64,6 +72,20 @@
 	Fleet Fleet
 }
 
+// Capacity is what the instance can bear; zero: it is not told.
+type Capacity struct {
+	CPUShare    float64 // of a core
+	CPUSpeed    float64 // of that core, against a usual one
+	MemoryMB    int
+	LinkMbps    float64
+	Descriptors int
+}
+
+// Strength is the capacity as other instances are told of it.
+func (c Capacity) Strength() placement.Strength {
+	return placement.Strength{Cores: c.CPUShare * c.CPUSpeed, LinkMbps: c.LinkMbps, MemoryMB: c.MemoryMB, Descriptors: c.Descriptors}
+}
+
 // Fleet are the settings of an instance on a platform that keeps the fleet's
 // configuration, its members and what must last in a store of its own.
 type Fleet struct {
@@ -98,14 +120,19 @@
 		MaxWait:         owner.DefaultMaxWait,
 		DrainTime:       30 * time.Second,
 		Credentials:     make(map[string]string),
+		Regions:         make(map[string]string),
+		Capacity:        Capacity{CPUSpeed: 1},
 		// The lease is a few renewals long, so that a lost one does not end it, and
 		// short, since a group whose leader died waits for its end.
 		Fleet: Fleet{Grace: 6 * time.Second, Lease: 3 * time.Second, Drain: 7 * time.Second, StoreSilence: 4 * time.Second, LogLevel: "info", Limits: quota.Rules{Window: 5 * time.Second}},
 	}
 }
 
-// credentialSection holds references chosen by the operators.
-const credentialSection = "credentials"
+// Sections whose keys are not fixed.
+const (
+	credentialSection = "credentials" // references chosen by the operators
+	regionSection     = "regions"     // data centres
+)
 
 // Load reads a file.
 func Load(path string) (*Settings, error) {
@@ -170,6 +197,10 @@
 			s.Credentials[pl.key] = key.Value()
 			continue
 		}
+		if pl.section == regionSection {
+			p.region(s, pl, key.Value())
+			continue
+		}
 		set, ok := keys[pl]
 		if !ok {
 			p.list.Add(p.at(pl), "unknown key")
@@ -181,6 +212,32 @@
 	}
 }
 
+// region takes in the region of a data centre.
+func (p *parser) region(s *Settings, pl place, region string) {
+	var checked string
+	if err := name(&checked)(region); err != nil {
+		p.list.Add(p.at(pl), "%s", err.Error())
+	}
+	s.Regions[pl.key] = region // also a wrong one, so that it is not found missing as well
+}
+
+// regions checks that the instance's data centre has a region, and that the region it
+// names itself is that one.
+func (p *parser) regions(s *Settings) {
+	known := slices.Collect(maps.Values(s.Regions))
+	own, ok := s.Regions[s.DataCentre]
+	switch {
+	case len(s.Regions) > 0 && !ok:
+		p.list.Add(p.at(place{"instance", "data_centre"}), "%q has no region in [%s]", s.DataCentre, regionSection)
+	case s.Region == "":
+	case !slices.Contains(known, s.Region):
+		p.list.Add(p.at(place{"instance", "region"}), "%q is not a region of [%s]", s.Region, regionSection)
+	case s.Region != own:
+		p.list.Add(p.at(place{"instance", "region"}), "%q is not the region of data centre %q, which is %q", s.Region, s.DataCentre, own)
+	}
+	s.Region = cmp.Or(s.Region, own)
+}
+
 // leastStoreSilence leaves room for a watch and its way on a healthy network.
 const leastStoreSilence = time.Second
 
@@ -217,6 +274,7 @@
 	if s.Fleet.StoreSilence < leastStoreSilence {
 		p.list.Add(p.at(place{"fleet", "store_silence"}), "must be at least %s", leastStoreSilence)
 	}
+	p.regions(s)
 	p.pair("caller", s.CallerTLS)
 	p.pair("peer", s.PeerTLS)
 	p.pair("operator", s.OperatorTLS)
@@ -263,6 +321,12 @@
 	return map[place]setter{
 		{"instance", "name"}:                   name(&s.Name),
 		{"instance", "data_centre"}:            name(&s.DataCentre),
+		{"instance", "region"}:                 name(&s.Region),
+		{"capacity", "cpu_share"}:              positive(&s.Capacity.CPUShare, maxCores),
+		{"capacity", "cpu_speed"}:              positive(&s.Capacity.CPUSpeed, maxCores),
+		{"capacity", "memory_mb"}:              number(&s.Capacity.MemoryMB, 1, maxMemoryMB),
+		{"capacity", "link_mbps"}:              positive(&s.Capacity.LinkMbps, maxLinkMbps),
+		{"capacity", "descriptors"}:            number(&s.Capacity.Descriptors, 1, maxDescriptors),
 		{"caller", "listen"}:                   address(&s.CallerListen),
 		{"caller", "authenticate"}:             boolean(&s.Caller.Authenticate),
 		{"caller", "max_callers"}:              number(&s.Caller.MaxCallers, 1, 1_000_000),
@@ -394,6 +458,26 @@
 	}
 }
 
+// Bounds of what an instance may be told to have.
+const (
+	maxCores       = 1024
+	maxMemoryMB    = 1 << 24
+	maxLinkMbps    = 1e6
+	maxDescriptors = 1 << 30
+)
+
+// positive takes a number, which may be a fraction, above 0.
+func positive(target *float64, most float64) setter {
+	return func(value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n > 0 && n <= most) {
+			return fmt.Errorf("%q is not a number above 0, up to %g", value, most)
+		}
+		*target = n
+		return nil
+	}
+}
+
 func duration(target *time.Duration) setter {
 	return func(value string) error {
 		d, err := time.ParseDuration(value)
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -48,6 +48,7 @@
 			continue
 		case <-report.C:
 			i.upstreams.Report(i.part("relay"))
+			i.reportCrossing()
 		case <-i.ctx.Done():
 			return nil
 		}
@@ -285,9 +286,11 @@
 	view := i.view.Load()
 	now := sharing{groups: relay.Groups(snap), alive: view.Alive(), registered: len(view.Registered(i.now()))}
 	if i.placed == nil || !now.equal(i.shared) {
+		before := i.placed
 		i.shared = now
-		i.placed = relay.Place(now.groups, i.self, now.alive, now.registered)
+		i.placed = relay.Place(now.groups, i.self, now.alive, now.registered, i.settings.Places)
 		i.relay.SetCarriers(i.placed)
+		i.reportPlacement(before)
 	}
 	i.upstreams.Update(snap, i.placed, i.self.DataCentre)
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -28,8 +28,11 @@
 	"github.com/stackspindle/stackspindle/internal/lead/leadpb"
 	"github.com/stackspindle/stackspindle/internal/limits"
 	"github.com/stackspindle/stackspindle/internal/limits/limitspb"
+	"github.com/stackspindle/stackspindle/internal/locality"
+	"github.com/stackspindle/stackspindle/internal/logs"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
+	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/quota"
 	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/internal/relay/relaypb"
@@ -61,6 +64,8 @@
 type Settings struct {
 	Name          string
 	DataCentre    string
+	Places        locality.Map // of the data centres
+	Strength      placement.Strength
 	CallerListen  string
 	PeerListen    string
 	PeerAddress   string // under which others reach the instance; empty: as bound
@@ -100,6 +105,7 @@
 	started  time.Time
 	set      *metrics.Set
 	ring     *timeline.Ring
+	sampler  *logs.Limiter // of log lines
 
 	topology       atomic.Pointer[topology.Snapshot]
 	view           atomic.Pointer[lead.View]
@@ -128,6 +134,8 @@
 	background *ants.Pool
 	peers      *grpc.Server
 	conns      *peerconn.Conns // to other instances
+	traffic    *peerconn.Traffic
+	crossed    map[string]peerconn.Tally // to other regions until the last report; of the control goroutine
 	servers    []*http.Server
 
 	callerAddr string // both set by Start
@@ -153,7 +161,7 @@
 		platform: platform,
 		self: lead.Instance{
 			Name: settings.Name, Incarnation: uuid.NewString(),
-			Address: settings.PeerAddress, DataCentre: settings.DataCentre,
+			Address: settings.PeerAddress, DataCentre: settings.DataCentre, Strength: settings.Strength,
 		},
 		log:     log,
 		started: time.Now(),
@@ -164,6 +172,7 @@
 		known:   make(chan struct{}),
 		conns:   peerconn.New(),
 	}
+	i.sampler = logs.NewLimiter(i.now)
 	i.topology.Store(topology.New(memberGrace, departedMemory).Snapshot())
 	i.view.Store(lead.NewView())
 	i.ctx, i.cancel = context.WithCancel(context.Background())
@@ -171,13 +180,16 @@
 	if i.background, err = ants.NewPool(backgroundTasks, ants.WithNonblocking(true)); err != nil {
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
+	i.traffic = peerconn.NewTraffic(i.set, i.distanceTo)
+	i.conns.Count(i.traffic)
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
+	i.upstreams.Locate(settings.Places)
 	i.limiter = limits.New(limits.Config{
 		Self: i.self, Rules: settings.Limits, Accounts: i.accounts, Conns: i.conns,
 		Now: i.now, Spawn: i.spawn, Log: i.part("limits"), Metrics: i.set,
 	})
 	i.relay = relay.New(relay.Config{
-		Started: i.started, Self: i.self, Topology: i.topology.Load, Current: i.current, Limiter: i.limiter,
+		Started: i.started, Self: i.self, Places: settings.Places, Topology: i.topology.Load, Current: i.current, Limiter: i.limiter,
 		Upstreams: i.upstreams, Conns: i.conns, Log: i.part("relay"), Metrics: i.set,
 	})
 	if i.callers, err = relay.NewServer(i.relay, platform.Caller, settings.MaxCallers); err != nil {
@@ -188,6 +200,7 @@
 		Self: i.self, Own: server, Peers: i.conns, Store: platform.Store, Promoter: platform.Promoter, Dialer: platform.Dialer,
 		Around: surroundings{i}, DrainTime: settings.DrainTime, Now: i.now, Spawn: i.spawn, Log: i.part("lead"),
 	})
+	i.controller.Locate(settings.Places)
 	i.peers = grpc.NewServer(peerconn.ServerOptions()...)
 	leadpb.RegisterCoordinationServer(i.peers, server)
 	i.carrier = relay.NewCarrierServer(i.relay)
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -7,6 +7,9 @@
 	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/locality"
+	"github.com/stackspindle/stackspindle/internal/outlier"
+	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/routing"
 	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -65,6 +68,7 @@
 func (a *attempt) candidates() []routing.Candidate {
 	relay := a.s.relay
 	authority, err := a.gate.Authority()
+	usual := a.group.usual(kindOf(a.route))
 	var candidates []routing.Candidate
 	for _, m := range relay.snapshot().ByGroup[a.route.Group] {
 		up := relay.upstreams.get(m.ID)
@@ -72,15 +76,30 @@
 			continue
 		}
 		c := up.view(a.now())
-		c.Near = m.DataCentre == relay.near
+		c.Slots, c.Work = m.Slots/placement.PerMember, usual
+		c.Spared = c.Distance == locality.OtherRegion && a.now()-a.arrived < routing.RegionTrip
 		if err == nil && m.ID == authority.Primary {
 			c.Primary = true
 		}
 		candidates = append(candidates, c)
 	}
+	relay.deferOutliers(candidates)
 	return candidates
 }
 
+// deferOutliers leaves members that fail more than others out of a part of the choices.
+func (r *Relay) deferOutliers(candidates []routing.Candidate) {
+	failing := make([]float64, len(candidates))
+	for n, c := range candidates {
+		failing[n] = c.Failing
+	}
+	for n, share := range outlier.Shares(failing) {
+		if up := r.upstreams.get(candidates[n].ID); up != nil {
+			candidates[n].Deferred = !up.takesPart(share)
+		}
+	}
+}
+
 func (a *attempt) tryOne(c routing.Candidate, required group.Position, waitUntil time.Duration, others bool) (statement.Answer, outcome) {
 	if c.Primary {
 		return a.tryPrimary(waitUntil)
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -11,7 +11,9 @@
 	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/outlier"
 	"github.com/stackspindle/stackspindle/internal/pacing"
 	"github.com/stackspindle/stackspindle/internal/routing"
 )
@@ -26,11 +28,16 @@
 
 	mu       sync.Mutex // guards the rest
 	draining bool
-	carried  bool // this instance is a carrier of the group, or none is known
+	distance locality.Distance // from this instance
+	answered uint64            // in all
+	carried  bool              // this instance is a carrier of the group, or none is known
 	health   member.Health
+	failing  outlier.Failing
+	turns    outlier.Turns  // of the choices in which the member takes part
 	position group.Position // end of its log, as its answers told
 	behind   time.Duration  // how long ago the primary was there; negative: not known
 	growing  bool           // that has become more since the answer before
+	behindAt time.Duration  // when that was told
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
 	lagSince time.Duration  // when the first of them was
@@ -54,6 +61,8 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Answered(now)
+	up.failing.Answered()
+	up.answered++
 	up.recent.answered++
 	up.recent.took += now - asked
 	up.recent.longest = max(up.recent.longest, now-asked)
@@ -66,9 +75,18 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Missed(now)
+	up.failing.Failed()
 	up.recent.unheard++
 }
 
+// takesPart reports whether the member takes part in the next choice, which it does in a share
+// of them.
+func (up *upstream) takesPart(share float64) bool {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.turns.Next(share)
+}
+
 // isCarried reports whether this instance is to hold connections to the member.
 func (up *upstream) isCarried() bool {
 	up.mu.Lock()
@@ -89,7 +107,7 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.growing = behind > up.behind
-	up.behind = behind
+	up.behind, up.behindAt = behind, now
 	if !lagging {
 		up.lagged = 0
 		return
@@ -117,12 +135,15 @@
 	defer up.mu.Unlock()
 	return routing.Candidate{
 		ID:       up.id,
+		Distance: up.distance,
 		Draining: up.draining,
 		Usable:   up.health.Usable(now),
 		Refused:  now < up.lagUntil,
 		Position: up.position,
 		Behind:   up.behind,
 		Growing:  up.growing,
+		Seen:     now - up.behindAt,
+		Failing:  up.failing.Part(),
 		Load:     up.pool.Load(),
 	}
 }
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/locality"
 )
 
 // Candidate is a member that might serve a read, as one instance among several
@@ -12,14 +13,20 @@
 type Candidate struct {
 	ID       string
 	Primary  bool
-	Near     bool           // in the instance's data centre
-	Draining bool           // gets no new work
-	Usable   bool           // answered when it was last asked
-	Refused  bool           // could not serve a read for want of log a moment ago
-	Position group.Position // end of its log as last told
-	Behind   time.Duration  // how long ago the primary was there; negative: not known
-	Growing  bool           // it was further behind when it last told than before
-	Load     int            // requests of this instance that it holds or that wait for it
+	Distance locality.Distance // from the instance
+	Draining bool              // gets no new work
+	Usable   bool              // answered when it was last asked
+	Refused  bool              // could not serve a read for want of log a moment ago
+	Position group.Position    // end of its log as last told
+	Behind   time.Duration     // how long ago the primary was there; negative: not known
+	Growing  bool              // it was further behind when it last told than before
+	Seen     time.Duration     // how long ago Behind was told
+	Load     int               // requests of this instance that it holds or that wait for it
+	Slots    int               // of the member's that this instance may count on
+	Work     time.Duration     // that such a read usually takes; 0: not known
+	Spared   bool              // left out while a replica that should serve comes first
+	Failing  float64           // part of what it was sent that lately failed
+	Deferred bool              // takes no part in this choice, since it fails more than others
 }
 
 // Weights of Order, in half requests waiting.
@@ -29,11 +36,20 @@
 	farPenalty     = 1 // bytes between data centres are charged, and take longer
 )
 
+// trialAfter is how old the knowledge that a replica is behind may be before a read tries
+// it again: one that nobody asks cannot show that it has caught up.
+const trialAfter = 250 * time.Millisecond
+
+// RegionTrip is what a read is taken to spend on the way to another region and back. It
+// waits at least as long for room at a member of its own.
+const RegionTrip = 25 * time.Millisecond
+
 // Order returns the members that may serve a read, best first: the least loaded,
-// near replicas before others. The required position was the end of the
+// near replicas before others, and those of other regions once the near ones have
+// so much to do that the way there takes less time. The required position was the end of the
 // primary's log an age ago. A replica that should not hold it yet comes after the
 // primary, and one that has just said so is left out. Members that did not answer
-// come last.
+// come last. Those to be spared are left out where a replica that should serve comes first.
 func Order(candidates []Candidate, required group.Position, age time.Duration) []Candidate {
 	var order []Candidate
 	for _, c := range candidates {
@@ -49,6 +65,9 @@
 		}
 		return cost(a) - cost(b)
 	})
+	if len(order) > 0 && !order[0].Spared && !order[0].Primary && rank(order[0], required, age) == 0 {
+		order = slices.DeleteFunc(order, func(c Candidate) bool { return c.Spared })
+	}
 	return order
 }
 
@@ -58,7 +77,9 @@
 	switch {
 	case !c.Usable:
 		return 2
-	case c.Primary || !c.Position.Less(required) || c.Behind < 0 || age >= c.Behind:
+	case c.Deferred:
+		return 1
+	case c.Primary || !c.Position.Less(required) || c.Behind < 0 || age >= c.Behind || c.Seen >= trialAfter:
 		return 0
 	}
 	return 1
@@ -74,8 +95,23 @@
 	if c.Primary {
 		cost += primaryPenalty
 	}
-	if !c.Near {
+	switch c.Distance {
+	case locality.SameRegion:
 		cost += farPenalty
+	case locality.OtherRegion:
+		cost += farPenalty + crossing(c)
 	}
 	return cost
 }
+
+// crossing is what the way to a member of another region costs. A near member that has
+// fewer requests than that either runs them all at once, or has run them in less
+// time than the way takes.
+func crossing(c Candidate) int {
+	slots := max(1, c.Slots)
+	waiting := slots
+	if c.Work > 0 {
+		waiting = int((time.Duration(slots)*RegionTrip + c.Work - 1) / c.Work)
+	}
+	return (slots + waiting) * perRequest
+}
