--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -105,14 +105,18 @@
 // SetMaxActive changes the bound of the connections in use but for parked ones.
 func (q *Queue) SetMaxActive(n int) { q.cfg.MaxActive = n }
 
-// Pause holds requests of a priority and of lower ones until a time. Those that
-// wait are granted by the first call of Next after it.
+// Pause holds flexible requests of a priority and of lower ones until a time. What only this
+// member can run is not held: nobody else serves it meanwhile. Those that wait are granted
+// by the first call of Next after it.
 func (q *Queue) Pause(priority int, until time.Duration) {
 	q.pauses[priority] = max(q.pauses[priority], until)
 }
 
-// held reports whether a pause holds requests of a priority.
-func (q *Queue) held(priority int) bool {
+// held reports whether a pause holds requests of a lane and a priority.
+func (q *Queue) held(l lane, priority int) bool {
+	if l != flexible {
+		return false
+	}
 	for p, until := range q.pauses {
 		if p <= priority && q.now < until {
 			return true
@@ -256,10 +260,10 @@
 
 // admissible reports whether a new request need not wait.
 func (q *Queue) admissible(f *flow, r *Request) bool {
-	if r.Limit > 0 && f.inUse >= r.Limit || q.held(r.Priority) {
+	l := laneOf(r)
+	if r.Limit > 0 && f.inUse >= r.Limit || q.held(l, r.Priority) {
 		return false
 	}
-	l := laneOf(r)
 	return q.room()[l] && !q.waitsAhead(l, r.Priority)
 }
 
@@ -267,7 +271,7 @@
 // request of a priority, and is held by nothing else.
 func (q *Queue) waitsAhead(l lane, priority int) bool {
 	for _, c := range q.classes {
-		if c.priority <= priority && !q.held(c.priority) && c.lines[timely][l].len()+c.lines[late][l].len() > 0 {
+		if c.priority <= priority && !q.held(l, c.priority) && c.lines[timely][l].len()+c.lines[late][l].len() > 0 {
 			return true
 		}
 	}
@@ -286,6 +290,14 @@
 	return room
 }
 
+// open returns of the lanes that have room those that no pause holds for a priority.
+func (q *Queue) open(room [lanes]bool, priority int) [lanes]bool {
+	for l := range room {
+		room[l] = room[l] && !q.held(lane(l), priority)
+	}
+	return room
+}
+
 func (q *Queue) grant(f *flow, r *Request, cost, arrived float64) {
 	q.inUse++
 	f.inUse++
@@ -372,10 +384,7 @@
 	}
 	for s := range stages {
 		for _, c := range q.classes {
-			if q.held(c.priority) {
-				continue
-			}
-			if e := c.first(s, room, q.now); e != nil {
+			if e := c.first(s, q.open(room, c.priority), q.now); e != nil {
 				return e
 			}
 		}
@@ -388,11 +397,11 @@
 func (q *Queue) overdue(room [lanes]bool) *entry {
 	room[flexible] = room[fixedRead]
 	for _, c := range q.classes {
-		if !c.overdue(q.now) || q.held(c.priority) {
+		if !c.overdue(q.now) {
 			continue
 		}
 		for s := range stages {
-			if e := c.first(s, room, q.now); e != nil {
+			if e := c.first(s, q.open(room, c.priority), q.now); e != nil {
 				c.overdueGrants++
 				return e
 			}
