--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -161,3 +161,20 @@
 	p.Pause(1, 0) // its timer, like that of the first, looks again
 	(<-granted).Release()
 }
+
+// A transaction that rests does not make connections look slow: what counts is the time until
+// it was parked.
+func TestHeldTimeLeavesRestsOut(t *testing.T) {
+	p, clock := newPool(&dialer{limit: 1}, never)
+	lease := acquire(t, p)
+	clock.Store(int64(20 * time.Millisecond))
+	lease.Park()
+	clock.Store(int64(time.Hour))
+	lease.Resume()
+	must.Eq(t, 1, p.Backlog(0).Active)
+	lease.Park()
+	lease.Resume()
+	lease.Release()
+	lease.Resume()
+	must.Eq(t, pool.Backlog{Slots: p.Capacity(), Held: 20 * time.Millisecond}, p.Backlog(0))
+}
--- a/internal/pool/order_test.go
+++ b/internal/pool/order_test.go
@@ -217,3 +217,28 @@
 	granted, _ = q.Next(10 * demandHalfLife)
 	must.Len(t, 1, granted, must.Sprint("nobody has wanted the reserve for long"))
 }
+
+// The load: transactions are open at a primary that reads fill. A further statement runs at
+// once, also beyond the bound, counts while it runs, and keeps its place reserved for the next.
+func TestFurtherStatementsComeFirst(t *testing.T) {
+	q := New(Config{Capacity: 10, MaxQueue: 9, MaxActive: 2, Patient: true})
+	tx := Request{ID: 1, Write: true, Deadline: time.Hour}
+	read := func(id uint64) Request { return Request{ID: id, Elsewhere: true, Deadline: time.Hour} }
+	must.Eq(t, Granted, q.Offer(0, tx))
+	q.Park(tx)
+	later := 10 * demandHalfLife // what its beginning reserved is over
+	must.Eq(t, Granted, q.Offer(later, read(2)))
+	must.Eq(t, Granted, q.Offer(later, read(3)))
+	q.Resume(later, tx)
+	must.Eq(t, 3, q.Backlog(0).Active)
+	must.Eq(t, Queued, q.Offer(later, read(4)))
+	q.Done(read(2), ms)
+	granted, _ := q.Next(later)
+	must.SliceEmpty(t, granted)
+	q.Park(tx)
+	granted, _ = q.Next(later)
+	must.SliceEmpty(t, granted, must.Sprint("its place is kept for its next statement"))
+	q.Done(read(3), ms)
+	granted, _ = q.Next(later)
+	must.Len(t, 1, granted)
+}
