--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -30,7 +30,8 @@
 }
 
 func (p predicting) ran(now time.Duration, v *visit, waited time.Duration) {
-	p.level(v).Ended(now, waited, v.predicted, true)
+	p.level(v).Left(now, true)
+	p.level(v).Waited(waited, v.predicted)
 }
 
 func (p predicting) hold(v *visit) time.Duration { return v.kind.patience }
@@ -74,7 +75,8 @@
 			for _, f := range factors {
 				r := Request{Usual: d, Objective: d, Deadline: d}
 				l := &Level{moved: d, waiting: n}
-				l.Ended(d, d, -d, true)
+				l.Left(d, true)
+				l.Waited(d, -d)
 				v := l.Decide(d, r, Backlog{Ahead: n, Work: d, Active: n, Slots: -n, Held: d, Slowdown: f})
 				must.Between(t, 0, v.Wait, maxWait)
 				must.Between(t, 0, v.ComeBack, 2*maxWait)
--- a/internal/admission/correction.go
+++ b/internal/admission/correction.go
@@ -7,8 +7,11 @@
 	// correctionSpan is the number of waits over which the factor and its deviation are
 	// averaged.
 	correctionSpan = 16
-	minCorrection  = 0.5
-	maxCorrection  = 16
+	// deviations is by how many mean deviations the factor lies above the mean. By the mean
+	// alone half of those that are admitted last would be late.
+	deviations    = 2
+	minCorrection = 0.5
+	maxCorrection = 16
 	// leastPredicted is the shortest predicted wait from which anything is learned: below
 	// it the time to take a connection counts as much.
 	leastPredicted = 5 * time.Millisecond
@@ -22,9 +25,9 @@
 	deviation float64 // mean distance of single factors from it
 }
 
-// Factor returns a factor that most waits keep within: the mean with its deviation, as
-// timeouts are set. By the mean alone half of those admitted last would be late.
-func (c *Correction) Factor() float64 { return clampCorrection(1 + c.more + c.deviation) }
+// Factor returns a factor that most waits keep within: the mean with deviations, as
+// timeouts are set.
+func (c *Correction) Factor() float64 { return clampCorrection(1 + c.more + deviations*c.deviation) }
 
 // Waited takes in the wait of a request for which another was predicted by the
 // uncorrected backlog. One that was given up counts with the time for which it has waited.
--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -53,12 +53,14 @@
 	l.waiting++
 }
 
-// Ended notes that a request waits no longer: it was granted what it waited for, or given
-// up. predicted is what its verdict said.
-func (l *Level) Ended(now, waited, predicted time.Duration, granted bool) {
+// Left notes that a request waits no longer, since it was granted what it waited for, or not.
+func (l *Level) Left(now time.Duration, granted bool) {
 	l.waiting = max(0, l.waiting-1)
 	if granted {
 		l.moved = now
 	}
-	l.correction.Waited(waited, predicted)
 }
+
+// Waited takes in how long a request waited in all until it was granted what it waited
+// for, or was given up. predicted is what its verdict said.
+func (l *Level) Waited(seen, predicted time.Duration) { l.correction.Waited(seen, predicted) }
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -33,11 +33,11 @@
 	tries    int
 	why      string // the last refusal, for the caller and the log
 
-	verdict   admission.Verdict // on the wait for the member that was chosen last
-	decided   bool              // there is a verdict, which stands until the statement has run
-	predicted time.Duration     // wait for the member that was chosen last
-	obstacle  *obstacle         // why no member could be asked in this round, other than that all are full
-	waits     bool              // it was found worth holding although there is an obstacle
+	verdict  admission.Verdict // on the wait for the member that was chosen last
+	decided  bool              // there is a verdict, which stands until the statement has run
+	queuedAt time.Duration     // since when it waits in queues; 0: it does not
+	obstacle *obstacle         // why no member could be asked in this round, other than that all are full
+	waits    bool              // it was found worth holding although there is an obstacle
 
 	failures int              // members that ran the read and failed
 	failed   statement.Answer // of the last of them
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -98,7 +98,7 @@
 	if authority, err := a.gate.Authority(); err == nil && !a.decided {
 		if up := a.s.relay.upstreams.get(authority.Primary); up != nil {
 			a.verdict, a.decided = up.decide(a.now(), a.level(), a.request(), a.work()), true
-			a.lastMember, a.predicted = up.id, a.verdict.Predicted
+			a.lastMember = up.id
 		}
 	}
 	if a.decided && !a.verdict.Admit {
@@ -122,7 +122,6 @@
 		a.lastMember, a.why = best.ID, "what waits at the members already takes longer than the statement can wait"
 		return statement.Answer{}, noRoom
 	}
-	a.predicted = verdict.Predicted
 	stay := max(retryPause, stayTimes*verdict.Wait)
 	return a.tryOne(best, required, min(a.now()+stay, a.holdUntil()), len(order) > 1)
 }
@@ -146,12 +145,9 @@
 
 // place is a statement's place in the queue before a member.
 type place struct {
-	up        *upstream
-	work      admission.Work
-	level     int
-	since     time.Duration
-	predicted time.Duration
-	probe     bool // it shows whether a member is there that has not answered
+	a     *attempt
+	up    *upstream
+	probe bool // it shows whether a member is there that has not answered
 }
 
 // enterQueue notes that the statement may wait for a member until a time; nil: it does not.
@@ -160,27 +156,48 @@
 	if until <= now {
 		return nil
 	}
-	p := &place{up: up, work: a.work(), level: a.level(), since: now, predicted: a.predicted}
+	if a.queuedAt == 0 {
+		a.queuedAt = now
+	}
+	p := &place{a: a, up: up}
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	up.levels[p.work][p.level].Began(now)
+	up.level(a).Began(now)
 	if !up.probing && up.silent(now) > 0 {
 		p.probe, up.probing = true, true
 	}
 	return p
 }
 
+// level returns what is known of statements like this one. The caller holds mu.
+func (up *upstream) level(a *attempt) *admission.Level { return &up.levels[a.work()][a.level()] }
+
 // leave notes that the statement waits no longer.
-func (p *place) leave(now time.Duration, granted bool) {
+func (p *place) leave(granted bool) {
 	if p == nil {
 		return
 	}
+	now := p.a.now()
 	p.up.mu.Lock()
 	defer p.up.mu.Unlock()
 	if p.probe {
 		p.up.probing = false
 	}
-	p.up.levels[p.work][p.level].Ended(now, now-p.since, p.predicted, granted)
+	p.up.level(p.a).Left(now, granted)
+	if granted {
+		p.a.learnWait(p.up, now)
+	}
+}
+
+// learnWait compares how long the statement has waited with what was predicted when it was
+// admitted. The caller holds up.mu.
+func (a *attempt) learnWait(up *upstream, now time.Duration) {
+	if a.queuedAt == 0 {
+		return
+	}
+	up.level(a).Waited(now-a.queuedAt, a.verdict.Predicted)
+	a.s.relay.observeWait(a, now-a.queuedAt)
+	a.queuedAt = 0
 }
 
 // worthHolding reports whether the statement is held for another round.
@@ -219,7 +236,7 @@
 	}
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	return up.levels[a.work()][a.level()].Overloaded(a.now())
+	return up.level(a).Overloaded(a.now())
 }
 
 // pause waits for a moment, or until the group's primary changes.
@@ -241,6 +258,11 @@
 	if a.failures > 0 {
 		return a.failed
 	}
+	if up := a.s.relay.upstreams.get(a.lastMember); up != nil {
+		up.mu.Lock()
+		a.learnWait(up, a.now())
+		up.mu.Unlock()
+	}
 	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", a.why)
 	answer.Err.RetryAfter = a.comeBack()
 	a.s.relay.noteRefusal(a, answer.Err.RetryAfter)
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -61,7 +61,7 @@
 		Write:     !a.reads,
 		Deadline:  max(waitUntil, a.now()),
 	}, func(c *member.Shared) int { return c.Match(a.s.values) })
-	queued.leave(a.now(), err == nil)
+	queued.leave(err == nil)
 	if err != nil {
 		a.noteNoRoom(up, err)
 		return statement.Answer{}, noRoom
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,6 +151,17 @@
 	}
 }
 
+// observeWait records how long a statement waited, and what was predicted for it, where
+// any wait was.
+func (r *Relay) observeWait(a *attempt, waited time.Duration) {
+	if a.verdict.Wait == 0 {
+		return
+	}
+	labels := `{priority="` + strconv.Itoa(a.level()) + `"}`
+	r.set.GetOrCreateHistogram(`stackspindle_wait_seconds` + labels).Update(waited.Seconds())
+	r.set.GetOrCreateHistogram(`stackspindle_wait_to_predicted_ratio` + labels).Update(waited.Seconds() / a.verdict.Wait.Seconds())
+}
+
 func (r *Relay) countRefusal(reason string, level int) {
 	r.set.GetOrCreateCounter(`stackspindle_refusals_total{reason="` + reason + `",priority="` + strconv.Itoa(level) + `"}`).Inc()
 }
