--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -35,7 +35,7 @@
 	ordered := s.relay.carrierConns.order(carriers, carriersTried)
 	choice := s.relay.outlook.choose(s.relay.now(), q, ordered)
 	if !choice.Verdict.Admit {
-		return s.refuseAtDoor(st, route, choice)
+		return s.refuseForAll(st, route, choice)
 	}
 	why, refusal := "no carrier could be asked", statement.Answer{}
 	for n := range choice.Len {
--- a/internal/relay/outlook.go
+++ b/internal/relay/outlook.go
@@ -135,8 +135,8 @@
 	return q
 }
 
-// refuseAtDoor refuses a statement that all carriers would refuse.
-func (s *session) refuseAtDoor(st statement.Statement, route topology.Route, c admission.Choice) statement.Answer {
+// refuseForAll refuses a statement that all carriers would refuse.
+func (s *session) refuseForAll(st statement.Statement, route topology.Route, c admission.Choice) statement.Answer {
 	r := s.relay
 	level := min(max(route.Priority, 0), lowestPriority)
 	r.countRefusal(c.Verdict.Reason.String(), level)
