--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -1,10 +1,12 @@
 package limits
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +26,8 @@
 
 var rules = quota.Rules{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
 
+const generous = time.Minute // a bound that no test reaches
+
 // fleet is some limiters that reach one another over loopback, on one clock that stands
 // still unless it is moved.
 type fleet struct {
@@ -85,11 +89,11 @@
 	for _, l := range f.limiters {
 		work.Go(func() {
 			for range 100 {
-				if _, comeBack, ok := l.Spend("a"); ok {
+				if _, shortage, ok := l.Spend(t.Context(), "a", generous); ok {
 					ran.Add(1)
 				} else {
 					refused.Add(1)
-					if comeBack <= 0 {
+					if shortage.ComeBack <= 0 {
 						t.Error("a refusal without when to come back")
 					}
 				}
@@ -107,7 +111,7 @@
 	f := newFleet(t, 1, account.Limit{Rate: 1})
 	f.servers[0].Stop()
 	for _, name := range []string{"free", account.Anonymous} {
-		_, _, ok := f.limiters[0].Spend(name)
+		_, _, ok := f.limiters[0].Spend(t.Context(), name, generous)
 		must.True(t, ok)
 	}
 }
@@ -118,7 +122,7 @@
 	for _, server := range f.servers[1:4] {
 		server.Stop()
 	}
-	_, _, ok := f.limiters[0].Spend("a")
+	_, _, ok := f.limiters[0].Spend(t.Context(), "a", generous)
 	must.True(t, ok)
 }
 
@@ -128,20 +132,85 @@
 	l := f.limiters[0]
 	var last quota.Token
 	for {
-		token, _, ok := l.Spend("a")
+		token, _, ok := l.Spend(t.Context(), "a", generous)
 		if !ok {
 			break
 		}
 		last = token
 	}
 	l.Return("a", last)
-	_, _, ok := l.Spend("a")
+	_, _, ok := l.Spend(t.Context(), "a", generous)
 	must.True(t, ok)
 }
 
 // An account that nobody knows here gets nothing.
 func TestUnknownAccountIsRefused(t *testing.T) {
 	f := newFleet(t, 2, account.Limit{Rate: 1})
-	_, _, ok := f.limiters[0].Spend("none")
+	_, _, ok := f.limiters[0].Spend(t.Context(), "none", generous)
+	must.False(t, ok)
+}
+
+// holdersBut returns the holders of an account but for one.
+func (f *fleet) holdersBut(name, not string) []int {
+	var held []int
+	for i, l := range f.limiters {
+		if l.self != not && slices.Contains(l.holders.Of(name), l.self) {
+			held = append(held, i)
+		}
+	}
+	return held
+}
+
+// mute has a holder leave all questions without an answer.
+func (f *fleet) mute(t *testing.T, i int) {
+	f.servers[i].Stop()
+	l, err := net.Listen("tcp", "127.0.0.1:0") // connections are taken, and nothing is said
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, l.Close()) })
+	for n := range f.alive {
+		if n == i {
+			f.alive[n].Address = l.Addr().String()
+		}
+	}
+	for _, limiter := range f.limiters {
+		limiter.Learn(limiter.registered, f.alive)
+	}
+}
+
+// After a loss of many instances, five of six holders do not answer: an operation has its
+// token from the sixth while the questions to the others are open.
+func TestLateHoldersAreNotWaitedFor(t *testing.T) {
+	f := newFleet(t, 7, account.Limit{Rate: 50, Burst: 50})
+	var asker *Limiter
+	for _, l := range f.limiters {
+		if !slices.Contains(l.holders.Of("a"), l.self) {
+			asker = l
+		}
+	}
+	asker.timeout = time.Hour
+	for _, i := range f.holdersBut("a", asker.holders.Of("a")[5]) {
+		f.mute(t, i)
+	}
+	for range 3 {
+		_, _, ok := asker.Spend(t.Context(), "a", generous)
+		must.True(t, ok)
+	}
+}
+
+// An operation whose caller has gone waits for no token.
+func TestTokenIsNotAwaitedForNobody(t *testing.T) {
+	f := newFleet(t, 7, account.Limit{Rate: 50, Burst: 50})
+	l := f.limiters[0]
+	l.timeout = time.Hour
+	for _, i := range f.holdersBut("a", "") {
+		f.mute(t, i)
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	if slices.Contains(l.holders.Of("a"), l.self) {
+		l.Settle(2 * time.Hour) // its own share is of no help
+	}
+	_, shortage, ok := l.Spend(ctx, "a", generous)
 	must.False(t, ok)
+	must.Positive(t, shortage.ComeBack)
 }
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -239,12 +239,13 @@
 	return up.level(a).Overloaded(a.now())
 }
 
-// pause waits for a moment, or until the group's primary changes.
+// pause waits for a moment, or until the group's primary changes or nobody waits any more.
 func (a *attempt) pause() {
 	timer := time.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-a.gate.Changed():
+	case <-a.ctx.Done():
 	case <-timer.C:
 	}
 }
--- a/internal/relay/hold_test.go
+++ b/internal/relay/hold_test.go
@@ -33,16 +33,10 @@
 	for range waiting {
 		go func() { _, _ = p.Acquire(t.Context(), pool.Request{Any: true, Work: work, Deadline: generous}, nil) }() // never granted
 	}
-	awaitWaiting(b, waiting)
+	awaitWaiting(b.relay.upstreams.get("m1"), waiting)
 	return leases
 }
 
-func awaitWaiting(b *bench, n int) {
-	for b.relay.upstreams.get("m1").pool.Waiting() < n {
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // learn makes known what a statement of a database usually takes.
 func learn(b *bench, database string, usual time.Duration) {
 	for range 100 {
@@ -83,7 +77,7 @@
 	go func() {
 		answered <- b.run(newSession(b.relay, Start{Database: "strict"}), statement.Write, "WRITE 1 x")
 	}()
-	awaitWaiting(b, 1)
+	awaitWaiting(b.relay.upstreams.get("m1"), 1)
 	time.Sleep(5 * route.LatencyObjective)
 	for _, lease := range leases {
 		lease.Release()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -31,6 +31,9 @@
 	remote  *remoteTransaction // at a carrier; nil: none
 	carried bool               // the session is another instance's, which this one carries for
 	lost    string             // why the open transaction is gone; empty: it is not
+
+	dueBack      time.Duration // when the caller was told to come back last, for its account's limit
+	accountEmpty time.Duration // for how long the account has no tokens, as the last refusal told
 }
 
 // transaction is an open transaction on a member's connection.
@@ -81,9 +84,9 @@
 		delete(s.names, st.Name)
 		return statement.Done(s.state)
 	case s.tx != nil:
-		return s.continueTx(st, arrived)
+		return s.continueTx(ctx, st, arrived)
 	case s.remote != nil:
-		return s.continueCarried(st, arrived)
+		return s.continueCarried(ctx, st, arrived)
 	case ends:
 		return statement.Failure(statement.Idle, statement.Malformed, "no transaction is open")
 	}
@@ -137,8 +140,9 @@
 // member had no room for, is sent again.
 const busyPause = 5 * time.Millisecond
 
-// continueTx runs a further statement of the open transaction.
-func (s *session) continueTx(st statement.Statement, arrived time.Duration) statement.Answer {
+// continueTx runs a further statement of the open transaction. One that its member has no
+// room for is sent again until ctx ends.
+func (s *session) continueTx(ctx context.Context, st statement.Statement, arrived time.Duration) statement.Answer {
 	needed, known := s.needed(st)
 	if !known {
 		return statement.Failure(s.state, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
@@ -156,7 +160,7 @@
 			return s.loseTx(st, err, true)
 		}
 		s.relay.noteAnswer(tx.up, tx.group, tx.pass, asked, answer)
-		if retriableInTx(answer) && time.Now().Add(busyPause).Before(deadline) {
+		if retriableInTx(answer) && ctx.Err() == nil && time.Now().Add(busyPause).Before(deadline) {
 			time.Sleep(busyPause)
 			continue
 		}
