--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -32,55 +32,64 @@
 // carry has a first statement run by a carrier.
 func (s *session) carry(ctx context.Context, st statement.Statement, route topology.Route, carriers []lead.Instance, arrived time.Duration) statement.Answer {
 	q := s.query(st, route, arrived)
-	ordered := s.relay.carrierConns.order(carriers, carriersTried)
-	choice := s.relay.outlook.choose(s.relay.now(), q, ordered)
+	carriers = s.relay.carrierConns.order(carriers, carriersTried)
+	choice := s.relay.outlook.choose(s.relay.now(), q, carriers)
 	if !choice.Verdict.Admit {
-		return s.refuseForWait(st, route, choice)
+		return s.refuseForAll(st, route, choice)
 	}
-	why, refusal := "no carrier could be asked", statement.Answer{}
+	refusal := statement.Failure(statement.Idle, statement.Busy, "not run: no carrier could be asked")
+	refusal.Err.RetryAfter = comeBack
 	for n := range choice.Len {
-		carrier, left := ordered[choice.At(n)], arrived+route.Timeout-s.relay.now()
-		if left <= 0 || ctx.Err() != nil {
+		if ctx.Err() != nil || s.relay.now() >= arrived+route.Timeout {
 			break
 		}
-		stream, err := s.relay.carrierConns.open(carrier.Address, left)
-		if err != nil {
-			s.relay.outlook.lost(carrier.Address)
-			why = err.Error()
-			continue
+		answer, next := s.carryTo(ctx, st, route, q, carriers[choice.At(n)], arrived, n+1 < choice.Open)
+		if !next {
+			return answer
 		}
-		sent := s.relay.now()
-		reply, err := stream.ask(ctx, s.carryRequest(st, arrived), left+carryMargin)
-		switch {
-		case errors.Is(err, errCallerLeft):
-			s.relay.noteLeft(route.Database, "carried", s.relay.now()-arrived)
-			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
-		case errors.Is(err, errNotTaken):
-			s.relay.outlook.lost(carrier.Address)
-			why = err.Error()
-			continue
-		case err != nil:
-			s.relay.outlook.lost(carrier.Address)
-			s.relay.logLost(s, st, carrier.Name, err)
-			why = err.Error()
-			if s.reads(st) || st.Kind == statement.Begin {
-				continue // nothing can have changed
-			}
-			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
-		}
-		s.noteCarried(route, sent, reply)
-		s.relay.outlook.told(s.relay.now(), carrier.Address, route.Group, reply)
-		if n+1 < choice.Open && refusedForWait(reply, q) {
-			stream.release()
-			refusal = decodeReply(reply)
-			continue // it has not run, and the next carrier may have room
+		refusal = answer
+	}
+	return refusal
+}
+
+// carryTo has a first statement run by one carrier. It reports true, with why, when nothing can have
+// changed and another carrier is to be asked. others says that one may have room.
+func (s *session) carryTo(ctx context.Context, st statement.Statement, route topology.Route, q admission.Query, carrier lead.Instance, arrived time.Duration, others bool) (answer statement.Answer, next bool) {
+	left := arrived + route.Timeout - s.relay.now()
+	stream, err := s.relay.carrierConns.open(carrier.Address, left)
+	if err != nil {
+		s.relay.outlook.lost(carrier.Address)
+		return notCarried(err), true
+	}
+	sent := s.relay.now()
+	reply, err := stream.ask(ctx, s.carryRequest(st, arrived), left+carryMargin)
+	switch {
+	case errors.Is(err, errCallerLeft):
+		s.relay.noteLeft(route.Database, "carried", s.relay.now()-arrived)
+		return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err), false
+	case errors.Is(err, errNotTaken):
+		s.relay.outlook.lost(carrier.Address)
+		return notCarried(err), true
+	case err != nil:
+		s.relay.outlook.lost(carrier.Address)
+		s.relay.logLost(s, st, carrier.Name, err)
+		if s.reads(st) || st.Kind == statement.Begin {
+			return notCarried(err), true
 		}
-		return s.settleCarried(st, stream, route, reply)
+		return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err), false
 	}
-	if refusal.Err != nil {
-		return refusal
+	s.noteCarried(route, sent, reply)
+	s.relay.outlook.told(s.relay.now(), carrier.Address, route.Group, reply)
+	if others && refusedForWait(reply, q) {
+		stream.release()
+		return decodeReply(reply), true
 	}
-	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %s", why)
+	return s.settleCarried(st, stream, route, reply), false
+}
+
+// notCarried is the answer to a statement that no carrier has run.
+func notCarried(err error) statement.Answer {
+	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %v", err)
 	answer.Err.RetryAfter = comeBack
 	return answer
 }
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -25,6 +25,7 @@
 	group    *groupState
 	gate     *lead.Gate
 	arrived  time.Duration
+	due      time.Duration // until which its answer is in time
 	deadline time.Duration // for the whole answer
 	reads    bool
 	offered  bool // a member that could run it was asked
@@ -33,11 +34,11 @@
 	tries    int
 	why      string // the last refusal, for the caller and the log
 
-	verdict   admission.Verdict // on the wait for the member that was chosen last
-	decided   bool              // there is a verdict, which stands until the statement has run
-	predicted time.Duration     // wait for the member that was chosen last
-	obstacle  *obstacle         // why no member could be asked in this round, other than that all are full
-	waits     bool              // it was found worth holding although there is an obstacle
+	verdict  admission.Verdict // on the wait for the member that was chosen last
+	decided  bool              // there is a verdict, which stands until the statement has run
+	queuedAt time.Duration     // since when it waits in queues; 0: it does not
+	obstacle *obstacle         // why no member could be asked in this round, other than that all are full
+	waits    bool              // it was found worth holding although there is an obstacle
 
 	failures int              // members that ran the read and failed
 	failed   statement.Answer // of the last of them
@@ -84,6 +85,7 @@
 		arrived: arrived, deadline: arrived + route.Timeout, reads: s.reads(st),
 		why: "no member could be asked",
 	}
+	a.due = a.dueAt()
 	answer := a.run()
 	s.relay.observe(a, answer)
 	return answer
