--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
-	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/outlier"
 	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/routing"
@@ -21,21 +21,27 @@
 // round offers the statement to each member that may serve it, once.
 func (a *attempt) round() (statement.Answer, outcome) {
 	if a.needsPrimary() {
-		return a.tryPrimary(a.holdUntil())
+		return a.waitForPrimary()
 	}
 	required, ok := a.required()
 	if !ok {
 		a.why = "no replica is known to be fresh enough"
-		return a.tryPrimary(a.holdUntil())
+		return a.waitForPrimary()
+	}
+	age := a.group.age(a.now(), required)
+	order := routing.Order(a.candidates(), required, age)
+	if routing.Await(order, required, age, a.arrived+a.route.LatencyObjective-a.now()-retryPause) {
+		a.why = "a replica is about to hold what the read must see"
+		return statement.Answer{}, noRoom
+	}
+	if a.tries > 0 || len(order) == 1 {
+		a.tries++
+		return a.waitAtBest(order, required, age)
 	}
-	order := routing.Order(a.candidates(), required, a.group.age(a.now(), required))
 	last := noRoom
+	order = routing.AtOnce(order, required, age)
 	for i, c := range order {
-		wait := time.Duration(0) // a connection that is free now
-		if i == 0 && a.tries > 0 || len(order) == 1 {
-			wait = retryPause
-		}
-		answer, out := a.tryOne(c, required, a.now()+wait, len(order)-i > 1)
+		answer, out := a.tryOne(c, required, a.now(), len(order)-i > 1) // where a connection is free now
 		if out == served || out == unknown {
 			return answer, out
 		}
@@ -71,7 +77,6 @@
 		}
 		c := up.view(a.now())
 		c.Slots, c.Work = m.Slots/placement.PerMember, usual
-		c.Spared = c.Distance == locality.OtherRegion && a.now()-a.arrived < routing.RegionTrip
 		if err == nil && m.ID == authority.Primary {
 			c.Primary = true
 		}
@@ -104,7 +109,7 @@
 	}
 	timeout := a.deadline
 	if others {
-		timeout = min(timeout, a.now()+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
+		timeout = min(timeout, max(waitUntil, a.now())+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
 	}
 	return a.tryAt(a.ctx, target{up: up, after: required}, waitUntil, timeout)
 }
@@ -117,11 +122,14 @@
 	pass, err := a.gate.Enter(breaker.trip)
 	if err != nil {
 		a.why = err.Error()
+		a.obstacle = &obstacle{reason: admission.Change, left: a.group.outage(a.now(), a.gate)}
 		return statement.Answer{}, noRoom
 	}
+	a.group.noteAuthority(a.now())
 	if !a.mayWrite(pass) {
 		pass.Done()
 		a.why = "the grant is not confirmed, and the members do not verify it"
+		a.obstacle = &obstacle{reason: admission.Change, left: a.group.lapse()}
 		return statement.Answer{}, noRoom
 	}
 	up := a.s.relay.upstreams.get(pass.Primary)
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -27,18 +27,6 @@
 	maxFailures = 2
 )
 
-// Settings of the queue for connections.
-const (
-	// weightOfFirst is the weight of the highest priority in the queue for
-	// connections; each lower one has half of it.
-	weightOfFirst  = 16
-	lowestPriority = 4 // what ranks lower counts the same
-)
-
-// priorityNames name the queues: routes of one priority share one, in the order
-// in which their statements came.
-var priorityNames = [lowestPriority + 1]string{"0", "1", "2", "3", "4"}
-
 // patience returns for how long a member is expected to work on the statement at most.
 func (a *attempt) patience() time.Duration {
 	if usual := a.group.usual(kindOf(a.route)); usual > 0 {
@@ -63,14 +51,17 @@
 		return statement.Answer{}, noRoom
 	}
 	a.lastMember, a.lastAfter = up.id, t.after
+	queued := a.enterQueue(up, waitUntil)
 	lease, err := up.pool.Acquire(ctx, pool.Request{
-		Service:  priorityNames[min(a.route.Priority, lowestPriority)],
-		Account:  a.account,
-		Weight:   weightOfFirst >> min(a.route.Priority, lowestPriority),
-		Level:    a.route.Priority,
-		Write:    !a.reads,
-		Deadline: max(waitUntil, a.now()),
+		Account:   a.account,
+		Priority:  a.route.Priority,
+		Work:      a.group.usual(kindOf(a.route)),
+		Objective: a.arrived + a.route.LatencyObjective,
+		Elsewhere: !a.needsPrimary(),
+		Write:     !a.reads,
+		Deadline:  max(waitUntil, a.now()),
 	}, func(c *member.Shared) int { return c.Match(a.s.values) })
+	queued.leave(a.now(), err == nil)
 	if err != nil {
 		a.noteNoRoom(up, err)
 		return statement.Answer{}, noRoom
@@ -142,12 +133,16 @@
 	a.why = "member " + up.id + ": " + err.Error()
 	var refusal *statement.Error
 	switch {
+	case errors.Is(err, connpool.ErrBackoff):
+		a.obstacle = unreachable(up, a.now())
+		return
 	case errors.Is(err, connpool.ErrDeadline), errors.Is(err, connpool.ErrQueueFull),
-		errors.Is(err, connpool.ErrClosed), errors.Is(err, connpool.ErrBackoff),
+		errors.Is(err, connpool.ErrClosed),
 		errors.Is(err, context.Canceled), errors.As(err, &refusal):
 		return
 	}
 	up.noteMiss(a.now())
+	a.obstacle = unreachable(up, a.now())
 }
 
 // lostAnswer decides about a statement whose answer did not arrive. What cannot
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/locality"
@@ -36,11 +37,14 @@
 	position group.Position // end of its log, as its answers told
 	behind   time.Duration  // how long ago the primary was there; negative: not known
 	behindAt time.Duration  // when that was told
+	growing  bool           // that has become more since the answer before
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
 	lagSince time.Duration  // when the first of them was
 	recent   tally
 	window   pacing.Window
+	levels   [admission.Works][lowestPriority + 1]admission.Level
+	probing  bool // a statement is on its way that will show whether the member is there
 }
 
 // tally is what came of the attempts at a member since the last report.
@@ -102,6 +106,7 @@
 func (up *upstream) noteProgress(behind time.Duration, lagging bool, now time.Duration) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
+	up.growing = behind > up.behind
 	up.behind, up.behindAt = behind, now
 	if !lagging {
 		up.lagged = 0
@@ -138,6 +143,7 @@
 		Behind:   up.behind,
 		Seen:     now - up.behindAt,
 		Failing:  up.failing.Part(),
+		Growing:  up.growing,
 		Load:     up.pool.Load(),
 	}
 }
