--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -7,7 +7,6 @@
 	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
-	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/outlier"
 	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/routing"
@@ -40,6 +39,7 @@
 		return a.waitAtBest(order, required, age)
 	}
 	last := noRoom
+	order = routing.AtOnce(order, required, age)
 	for i, c := range order {
 		answer, out := a.tryOne(c, required, a.now(), len(order)-i > 1) // where a connection is free now
 		if out == served || out == unknown {
@@ -77,7 +77,6 @@
 		}
 		c := up.view(a.now())
 		c.Slots, c.Work = m.Slots/placement.PerMember, usual
-		c.Spared = c.Distance == locality.OtherRegion && a.now()-a.arrived < routing.RegionTrip
 		if err == nil && m.ID == authority.Primary {
 			c.Primary = true
 		}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -139,14 +139,15 @@
 // fit to serve it where there are such. The first of equals is the one that routing prefers.
 func (a *attempt) best(order []routing.Candidate, required group.Position, age time.Duration) (routing.Candidate, admission.Verdict) {
 	now, request := a.now(), a.request()
-	best, verdict := order[0], admission.Verdict{Admit: true}
+	best, verdict, soonest := order[0], admission.Verdict{Admit: true}, time.Duration(0)
 	for i, c := range order {
 		up := a.s.relay.upstreams.get(c.ID)
 		if up == nil || i > 0 && !c.Fit(required, age) {
 			continue
 		}
-		if v := up.decide(now, a.level(), request, a.work()); i == 0 || v.Wait < verdict.Wait {
-			best, verdict = c, v
+		v := up.decide(now, a.level(), request, a.work())
+		if at := v.Wait + c.Trip(); i == 0 || at < soonest {
+			best, verdict, soonest = c, v, at
 		}
 	}
 	return best, verdict
