--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -32,6 +32,9 @@
 	// farPool is how many connections to a member a carrier in another data centre has: one
 	// that a transaction holds, and one for everything else.
 	farPool = leastPool
+	// farParts is by how much less than an equal share such a carrier has where that is more.
+	// While replicas lag, its callers' reads need the primary, wherever that is.
+	farParts = 2
 	// perMember is how many carriers stand in the data centre of each member: while
 	// one is gone the other serves.
 	perMember = 2
@@ -120,10 +123,11 @@
 	if c.Everybody || near == 0 || c.usable < farPool*far+sharedPool*near {
 		return max(1, c.usable/c.count)
 	}
+	farShare := max(farPool, c.usable/c.count/farParts)
 	if member != self {
-		return farPool
+		return farShare
 	}
-	return (c.usable - farPool*far) / near
+	return (c.usable - farShare*far) / near
 }
 
 // Active returns how many statements outside transactions a carrier may have running
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -81,6 +81,10 @@
 	must.Eq(t, 9, c.Connections("a", "a"))
 	must.Eq(t, 2, c.Connections("a", "b"))
 	must.LessEq(t, 29-Reserved, 2*9+4*2)
+	many := Place(Group{Name: "g", MaxConnections: 66, Homes: []string{"a", "b", "c"}}, fleet(24, "a", "b", "c"), 83)
+	must.Eq(t, 22, many.Connections("a", "a"))
+	must.Eq(t, 5, many.Connections("a", "b"), must.Sprint("half of an equal share: its callers' reads need the primary while replicas lag"))
+	must.LessEq(t, 66-Reserved, 2*22+4*5)
 	everybody := Place(Group{Name: "g", MaxConnections: 23, Homes: []string{"a", "b", "c"}}, fleet(3, "a", "b", "c"), 9)
 	must.Eq(t, 2, everybody.Connections("a", "a"))
 }
