--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -7,17 +7,27 @@
 	Ahead  int           // requests that wait and would be granted before it
 	Work   time.Duration // that these are expected to take
 	Active int           // requests that hold a connection and are not parked
-	Slots  int           // how many may be active at once
-	Held   time.Duration // usual time for which a connection is in use, 0: not known
+	Slots  int           // how many may be active at once, with the connections that parked ones leave
+	// Flexible is how many of the slots are for requests that could run elsewhere.
+	Flexible int
+	Held     time.Duration // usual time for which a connection is in use, 0: not known
+	// PausedUntil is until when requests of the priority are held, 0: they are not.
+	PausedUntil time.Duration
 }
 
 // Backlog returns what a new request of a priority would find. Those whose work is
 // not known count with the usual time.
 func (q *Queue) Backlog(priority int) Backlog {
-	b := Backlog{Active: q.inUse - q.parked, Slots: q.cfg.Capacity, Held: q.average}
+	b := Backlog{Active: q.inUse - q.parked, Slots: max(0, q.cfg.Capacity-q.parked), Held: q.average}
 	if q.cfg.MaxActive > 0 {
 		b.Slots = min(b.Slots, q.cfg.MaxActive)
 	}
+	b.Flexible = q.flexibleSlots(b.Slots)
+	for level, until := range q.pauses {
+		if level <= priority {
+			b.PausedUntil = max(b.PausedUntil, until)
+		}
+	}
 	for _, c := range q.classes {
 		if c.priority > priority {
 			break
--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -44,6 +44,15 @@
 	return q.cfg.MaxActive == 0 || leaves(reserve, q.cfg.MaxActive, active, q.fixed.inUse-q.fixed.parked)
 }
 
+// flexibleSlots returns how many of some slots flexible requests may use.
+func (q *Queue) flexibleSlots(slots int) int {
+	reserve := int(math.Round(q.demand.value(q.now)))
+	if reserve == 0 {
+		return slots
+	}
+	return slots - max(0, min(reserve, slots-1)-(q.fixed.inUse-q.fixed.parked))
+}
+
 // leaves reports whether a reserve is left of places of which so many are used, a part
 // of them by those that it is for. One place is never reserved.
 func leaves(reserve, places, used, own int) bool {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/lead"
 	"github.com/stackspindle/stackspindle/internal/routing"
@@ -18,26 +19,26 @@
 // round offers the statement to each member that may serve it, once.
 func (a *attempt) round() (statement.Answer, outcome) {
 	if a.needsPrimary() {
-		return a.tryPrimary(a.holdUntil())
+		return a.waitForPrimary()
 	}
 	required, ok := a.required()
 	if !ok {
 		a.why = "no replica is known to be fresh enough"
-		return a.tryPrimary(a.holdUntil())
+		return a.waitForPrimary()
 	}
 	age := a.group.age(a.now(), required)
 	order := routing.Order(a.candidates(), required, age)
-	if routing.Await(order, required, age, a.holdUntil()-a.now()-retryPause) {
+	if routing.Await(order, required, age, a.arrived+a.route.LatencyObjective-a.now()-retryPause) {
 		a.why = "a replica is about to hold what the read must see"
 		return statement.Answer{}, noRoom
 	}
+	if a.tries > 0 || len(order) == 1 {
+		a.tries++
+		return a.waitAtBest(order, required, age)
+	}
 	last := noRoom
 	for i, c := range order {
-		wait := time.Duration(0) // a connection that is free now
-		if i == 0 && a.tries > 0 || len(order) == 1 {
-			wait = a.queueTime()
-		}
-		answer, out := a.tryOne(c, required, a.now()+wait, len(order)-i > 1)
+		answer, out := a.tryOne(c, required, a.now(), len(order)-i > 1) // where a connection is free now
 		if out == served || out == unknown {
 			return answer, out
 		}
@@ -47,13 +48,6 @@
 	return statement.Answer{}, last
 }
 
-// queueTime returns for how long a read waits for a connection to the member that suits
-// it best before it looks at all of them again. In the queue it has a place by its
-// priority and account, which it loses each time that it leaves.
-func (a *attempt) queueTime() time.Duration {
-	return max(retryPause, (a.holdUntil()-a.now())/2)
-}
-
 // required returns the position that a read must see, or false when no sample
 // of the primary is young enough.
 func (a *attempt) required() (group.Position, bool) {
@@ -97,7 +91,7 @@
 	}
 	timeout := a.deadline
 	if others {
-		timeout = min(timeout, a.now()+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
+		timeout = min(timeout, max(waitUntil, a.now())+max(a.patience(), time.Duration(float64(a.route.LatencyObjective)*lostReadShare)))
 	}
 	return a.tryAt(a.ctx, target{up: up, after: required}, waitUntil, timeout)
 }
@@ -110,11 +104,14 @@
 	pass, err := a.gate.Enter(breaker.trip)
 	if err != nil {
 		a.why = err.Error()
+		a.obstacle = &obstacle{reason: admission.Change, left: a.group.outage(a.now(), a.gate)}
 		return statement.Answer{}, noRoom
 	}
+	a.group.noteAuthority(a.now())
 	if !a.mayWrite(pass) {
 		pass.Done()
 		a.why = "the grant is not confirmed, and the members do not verify it"
+		a.obstacle = &obstacle{reason: admission.Change, left: a.group.lapse()}
 		return statement.Answer{}, noRoom
 	}
 	up := a.s.relay.upstreams.get(pass.Primary)
@@ -134,5 +131,5 @@
 // grant is confirmed, or the members could verify it a moment ago.
 func (a *attempt) mayWrite(pass *lead.Pass) bool {
 	return a.reads || pass.Standing() == lead.Confirmed || a.group.verifiedLately(a.now()) ||
-		a.s.relay.verify(a.group, pass.Authority)
+		a.s.relay.verify(a.group, pass.Authority, false)
 }
