--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -11,7 +11,7 @@
 	// Flexible is how many of the slots are for requests that could run elsewhere.
 	Flexible int
 	Held     time.Duration // usual time for which a connection is in use, 0: not known
-	// PausedUntil is until when requests of the priority are held, 0: they are not.
+	// PausedUntil is until when flexible requests of the priority are held, 0: they are not.
 	PausedUntil time.Duration
 }
 
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -88,6 +88,8 @@
 	b := up.pool.Backlog(level)
 	if work == admission.OnReplica {
 		b.Slots = b.Flexible
+	} else {
+		b.PausedUntil = 0 // a pause holds flexible requests only
 	}
 	return admission.Backlog{Ahead: b.Ahead, Work: b.Work, Active: b.Active, Slots: b.Slots, Held: b.Held, Paused: b.PausedUntil}
 }
