--- a/internal/pool/order_test.go
+++ b/internal/pool/order_test.go
@@ -218,22 +218,6 @@
 	must.Len(t, 1, granted, must.Sprint("nobody has wanted the reserve for long"))
 }
 
-// The load: work that only this member can run comes, while transactions rest. A new
-// request that could run elsewhere finds the slots that both leave, and the pause that holds it.
-func TestBacklogTellsWhatIsLeft(t *testing.T) {
-	q := New(Config{Capacity: 4, MaxActive: 3, MaxQueue: 10})
-	must.Eq(t, Granted, q.Offer(0, Request{ID: 1, Work: ms, Deadline: time.Second}))
-	must.Eq(t, Granted, q.Offer(0, Request{ID: 2, Work: ms, Deadline: time.Second}))
-	q.Park(Request{ID: 2})
-	q.Pause(1, 30*ms)
-	b := q.Backlog(1)
-	must.Eq(t, 1, b.Active)
-	must.Eq(t, 3, b.Slots)
-	must.Eq(t, 2, b.Flexible, must.Sprint("one more was active a moment ago"))
-	must.Eq(t, 30*ms, b.PausedUntil)
-	must.Zero(t, q.Backlog(0).PausedUntil)
-}
-
 // The load: transactions are open at a primary that reads fill. A further statement runs at
 // once, also beyond the bound, counts while it runs, and keeps its place reserved for the next.
 func TestFurtherStatementsComeFirst(t *testing.T) {
@@ -258,3 +242,19 @@
 	granted, _ = q.Next(later)
 	must.Len(t, 1, granted)
 }
+
+// The load: work that only this member can run comes, while transactions rest. A new
+// request that could run elsewhere finds the slots that both leave, and the pause that holds it.
+func TestBacklogTellsWhatIsLeft(t *testing.T) {
+	q := New(Config{Capacity: 4, MaxActive: 3, MaxQueue: 10})
+	must.Eq(t, Granted, q.Offer(0, Request{ID: 1, Work: ms, Deadline: time.Second}))
+	must.Eq(t, Granted, q.Offer(0, Request{ID: 2, Work: ms, Deadline: time.Second}))
+	q.Park(Request{ID: 2})
+	q.Pause(1, 30*ms)
+	b := q.Backlog(1)
+	must.Eq(t, 1, b.Active)
+	must.Eq(t, 3, b.Slots)
+	must.Eq(t, 2, b.Flexible, must.Sprint("one more was active a moment ago"))
+	must.Eq(t, 30*ms, b.PausedUntil)
+	must.Zero(t, q.Backlog(0).PausedUntil)
+}
