--- a/internal/admission/change.go
+++ b/internal/admission/change.go
@@ -45,8 +45,8 @@
 }
 
 // Left predicts for how much longer a group that has had no primary for a time has none.
-// One that has lasted longer than usual waits for something out of the ordinary, and is
-// taken to last as long again.
+// One that has lasted longer than usual waits for something out of the ordinary: two in
+// three of such end within twice the time that they have lasted.
 func (o *Outages) Left(lost time.Duration, change bool) time.Duration {
 	usual := o.Lapse()
 	if change {
@@ -56,12 +56,15 @@
 	if lost < usual {
 		return usual - lost
 	}
-	return lost
+	return unusual(lost)
 }
 
-// Silence predicts for how much longer a member does not answer that has not for a time:
-// for as long again.
-func Silence(lasted time.Duration) time.Duration { return min(max(lasted, 0), maxWait) }
+// unusual returns for how much longer something is expected to last of which only is known
+// for how long it has.
+func unusual(lasted time.Duration) time.Duration { return min(2*lasted, maxWait) }
+
+// Silence predicts for how much longer a member does not answer that has not for a time.
+func Silence(lasted time.Duration) time.Duration { return unusual(bounded(lasted)) }
 
 // DecideOutage says whether a request is held until what keeps it from any member has
 // ended, which is expected to take some time.
--- a/internal/admission/correction.go
+++ b/internal/admission/correction.go
@@ -9,7 +9,7 @@
 	correctionSpan = 16
 	// deviations is by how many mean deviations the factor lies above the mean. By the mean
 	// alone half of those that are admitted last would be late.
-	deviations    = 1
+	deviations    = 2
 	minCorrection = 0.5
 	maxCorrection = 16
 	// leastPredicted is the shortest predicted wait from which anything is learned: below
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -25,7 +25,6 @@
 	group    *groupState
 	gate     *lead.Gate
 	arrived  time.Duration
-	due      time.Duration // until which its answer is in time
 	deadline time.Duration // for the whole answer
 	reads    bool
 	offered  bool // a member that could run it was asked
@@ -85,7 +84,6 @@
 		arrived: arrived, deadline: arrived + route.Timeout, reads: s.reads(st),
 		why: "no member could be asked",
 	}
-	a.due = a.dueAt()
 	answer := a.run()
 	s.relay.observe(a, answer)
 	return answer
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -44,22 +44,13 @@
 	return 0
 }
 
-// request returns what admission needs to know of the statement.
+// request returns what admission needs to know of the statement. One that arrives late,
+// since others could not run it, is treated as its caller's next attempt would be.
 func (a *attempt) request() admission.Request {
-	now := a.now()
+	left := max(0, a.deadline-a.now())
 	return admission.Request{
-		ID: a.st.ID, Usual: a.group.usual(kindOf(a.route)), Objective: max(0, a.due-now), Deadline: max(0, a.deadline-now),
-	}
-}
-
-// dueAt returns until when the statement is answered in time. One that arrives late, since
-// others could not run it, is treated as its caller's next attempt would be.
-func (a *attempt) dueAt() time.Duration {
-	due := a.arrived + a.route.LatencyObjective
-	if now := a.now(); now >= due {
-		due = now + a.route.LatencyObjective
+		ID: a.st.ID, Usual: a.group.usual(kindOf(a.route)), Objective: min(a.route.LatencyObjective, left), Deadline: left,
 	}
-	return min(due, a.deadline)
 }
 
 // level returns the priority of the statement among those that are told apart.
@@ -229,8 +220,9 @@
 // until its deadline is near if it was admitted and its queue is not overloaded. Where
 // others are refused, one that is late takes the room of one that would be in time.
 func (a *attempt) holdUntil() time.Duration {
-	if !a.decided || a.offered || a.waits || a.now()+retryPause < a.due || a.overloaded() {
-		return a.due
+	objective := min(a.deadline, a.arrived+a.route.LatencyObjective)
+	if !a.decided || a.offered || a.waits || a.now()+retryPause < objective || a.overloaded() {
+		return objective
 	}
 	return a.deadline - answerMargin - a.group.usual(kindOf(a.route))
 }
