Routing: a read waits for no replica that would rank behind the primary even when it is there

With regions a near primary ranks before a replica of another region that holds what the read must see, or is about to. The same could happen in one region where the replica has more to do than the primary.

--- a/internal/routing/await_test.go
+++ b/internal/routing/await_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/locality"
 )
 
 // The load: the primary is busy, and replicas lag. A read waits for one that will be there in
@@ -29,6 +31,9 @@
 		"gone":              {[]Candidate{with(func(c *Candidate) { c.Usable = false })}, false},
 		"lag not known":     {[]Candidate{with(func(c *Candidate) { c.Behind = -1 })}, false},
 		"just refused":      {[]Candidate{with(func(c *Candidate) { c.Refused = true })}, false},
+		"another region":    {[]Candidate{with(func(c *Candidate) { c.Distance = locality.OtherRegion })}, false},
+		"there, not here":   {[]Candidate{with(func(c *Candidate) { c.Distance, c.Behind = locality.OtherRegion, age }), near}, true},
+		"has more to do":    {[]Candidate{with(func(c *Candidate) { c.Load = 2 })}, false},
 		"none":              {nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
