--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -136,6 +136,10 @@
 	return max(1, (perSlot*slots+sharers-1)/sharers)
 }
 
+// MostActive returns how many statements outside transactions may be at a member with some
+// slots, from all carriers together.
+func MostActive(slots int) int { return perSlot * slots }
+
 // Caller is the instance that passes a statement on.
 type Caller struct {
 	Name       string
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -43,6 +43,10 @@
 	lagSince time.Duration  // when the first of them was
 	recent   tally
 	window   pacing.Window
+	room     pacing.Room // beyond share
+	share    int         // statements outside transactions that this instance may have running there
+	most     int         // that all together may
+	mayRun   int         // of which this instance makes use: its share and the room
 	levels   [admission.Works][lowestPriority + 1]admission.Level
 	probing  bool // a statement is on its way that will show whether the member is there
 }
@@ -56,6 +60,20 @@
 	longest  time.Duration
 }
 
+// setShare takes in how many statements outside transactions this instance, and all
+// together, may have running at the member.
+func (up *upstream) setShare(share, most int) {
+	up.mu.Lock()
+	changed := share != up.share || most != up.most
+	if changed {
+		up.share, up.most, up.room, up.mayRun = share, most, pacing.Room{}, share
+	}
+	up.mu.Unlock()
+	if changed {
+		up.pool.SetMaxActive(share)
+	}
+}
+
 // noteAnswer records an answer to a question of that time.
 func (up *upstream) noteAnswer(asked, now time.Duration, p group.Position) {
 	up.mu.Lock()
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -19,6 +19,7 @@
 	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/pacing"
+	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/pool"
 	"github.com/stackspindle/stackspindle/internal/routing"
 	"github.com/stackspindle/stackspindle/internal/statement"
@@ -87,7 +88,7 @@
 		}
 		if carriers, ok := placed[m.Group]; ok {
 			up.pool.SetCapacity(carriers.Connections(m.DataCentre, dataCentre))
-			up.pool.SetMaxActive(carriers.Active(m.Slots, m.DataCentre, dataCentre))
+			up.setShare(carriers.Active(m.Slots, m.DataCentre, dataCentre), placement.MostActive(m.Slots))
 		}
 		carriers, known := placed[m.Group]
 		up.mu.Lock()
@@ -216,7 +217,7 @@
 	defer u.mu.Unlock()
 	for id, up := range u.members {
 		up.mu.Lock()
-		recent, behind, share, distance, failing := up.recent, up.behind, up.window.Share(), up.distance, up.failing.Part()
+		recent, behind, share, distance, failing, mayRun := up.recent, up.behind, up.window.Share(), up.distance, up.failing.Part(), up.mayRun
 		up.recent = tally{}
 		up.mu.Unlock()
 		if recent == (tally{}) {
@@ -228,7 +229,7 @@
 			"group": up.group, "member": id, "distance": distance.String(), "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
-			"share": math.Round(100*share) / 100, "failing": math.Round(100*failing) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
+			"share": math.Round(100*share) / 100, "may_run": mayRun, "failing": math.Round(100*failing) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
 		}).Info("relay: a member since the last report")
 	}
 }
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -53,9 +53,16 @@
 // they wait for has begun already, and counting them paces members that are only busy.
 func (r *Relay) pace(up *upstream, g *groupState, route topology.Route, took time.Duration) {
 	usual := g.took(kindOf(route), took)
+	waiting := up.pool.Waiting() > 0
 	up.mu.Lock()
 	pause := up.window.Answered(took, usual)
+	before := up.mayRun
+	up.mayRun = up.share + up.room.Answered(&up.window, waiting, up.share, up.most)
+	mayRun := up.mayRun
 	up.mu.Unlock()
+	if mayRun != before {
+		up.pool.SetMaxActive(mayRun)
+	}
 	if pause > 0 {
 		span := r.snapshot().Priorities[g.name]
 		up.pool.Pause(pacing.Level(route.Priority, span.Top, span.Last), pause)
