--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -22,7 +22,7 @@
 type Config struct {
 	Capacity     int // connections that may be used at once
 	WriteReserve int // of them, those that reads may not take
-	MaxQueue     int // requests that may wait, for each service
+	MaxQueue     int // requests that may wait, of each service and account in one priority
 
 	// MaxActive bounds the connections in use but for the parked ones, 0: no
 	// bound. It keeps a queue in front of a busy member here, where it is fair and
@@ -44,7 +44,7 @@
 	Objective time.Duration
 	Elsewhere bool          // another member could run it, now or a moment later
 	Any       bool          // a connection of any account will do, as for what is nobody's work
-	Weight    int           // share of the service under contention, at least 1
+	Weight    int           // share of the service or account within its priority, at least 1
 	Limit     int           // connections the service may use at once, 0: no bound
 	Write     bool          // may use the reserve
 	Deadline  time.Duration // after which the request must not be granted
@@ -60,7 +60,7 @@
 const (
 	Granted Outcome = iota
 	Queued
-	QueueFull // refused: too many of the service wait already
+	QueueFull // refused: too many of the service or account wait already
 	TooLate   // refused: it would not be served before its deadline
 )
 
@@ -379,9 +379,16 @@
 	if !room[write] || len(q.entries) == 0 {
 		return nil
 	}
-	if e := q.overdue(room); e != nil {
+	next := q.inOrder(room)
+	if e := q.overdue(room); e != nil && e != next {
+		e.line.flow.class.overdueGrants++
 		return e
 	}
+	return next
+}
+
+// inOrder returns the request that is due by stage and priority.
+func (q *Queue) inOrder(room [lanes]bool) *entry {
 	for s := range stages {
 		for _, c := range q.classes {
 			if e := c.first(s, q.open(room, c.priority), q.now); e != nil {
@@ -402,7 +409,6 @@
 		}
 		for s := range stages {
 			if e := c.first(s, q.open(room, c.priority), q.now); e != nil {
-				c.overdueGrants++
 				return e
 			}
 		}
