--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -141,3 +141,52 @@
 	must.Eq(t, edits.callers, edits.inTime)
 	must.LessEq(t, (reads.inTime+reads.late)/20, reads.lateAdmitted)
 }
+
+// The failure: a member stops answering while requests wait, or all its room goes to
+// requests that rank higher. Nothing of the priority is granted, so the wait is at least the time since.
+func TestNothingIsGranted(t *testing.T) {
+	var l Level
+	r := Request{ID: "x", Usual: 10 * ms, Objective: 200 * ms, Deadline: time.Second}
+	stuck := Backlog{Ahead: 1, Work: 10 * ms, Active: 6, Slots: 6, Held: 20 * ms, Slowdown: 1}
+	l.Began(time.Second)
+	must.True(t, l.Decide(time.Second+100*ms, r, stuck).Admit)
+	must.False(t, l.Overloaded(time.Second+100*ms))
+	v := l.Decide(time.Second+300*ms, r, stuck)
+	must.False(t, v.Admit)
+	must.Eq(t, 300*ms, v.Wait)
+	must.True(t, l.Overloaded(time.Second+300*ms+overloadGap))
+	must.False(t, l.Overloaded(time.Second+301*ms+overloadGap))
+	must.False(t, l.Decide(time.Second+300*ms, r, Backlog{Ahead: 1, Active: 6, Slots: 6}).Admit, must.Sprint("nor while nothing usual is known"))
+	l.Left(time.Second+300*ms, true)
+	must.True(t, l.Decide(time.Second+310*ms, r, stuck).Admit, must.Sprint("one was granted"))
+}
+
+// The failure: a group has no primary. What is left follows from how long earlier changes took; one
+// that lasts longer than usual is expected to go on.
+func TestOutages(t *testing.T) {
+	for name, c := range map[string]struct {
+		seen   time.Duration // length of an earlier outage, 0: there was none
+		lost   time.Duration
+		change bool
+		want   time.Duration
+	}{
+		"a change has just begun":          {0, 0, true, defaultChange},
+		"a change is about to end":         {0, defaultChange - 50*ms, true, 50 * ms},
+		"changes are known to take longer": {4 * time.Second, time.Second, true, 3 * time.Second},
+		"longer than usual":                {time.Second, 2 * time.Second, true, 4 * time.Second},
+		"a grant has lapsed":               {0, 0, false, defaultLapse},
+		"for long":                         {0, time.Second, false, 2 * time.Second},
+	} {
+		var o Outages
+		if c.seen > 0 {
+			o.Ended(c.seen, c.change)
+		}
+		must.Eq(t, c.want, o.Left(c.lost, c.change), must.Sprint(name))
+	}
+	r := Request{ID: "x", Usual: 10 * ms, Objective: 200 * ms, Deadline: 10 * time.Second}
+	must.True(t, DecideOutage(r, 190*ms, Change).Admit)
+	v := DecideOutage(r, 8*time.Second, Change)
+	must.False(t, v.Admit)
+	must.Eq(t, Change, v.Reason)
+	must.Between(t, defaultChange, v.ComeBack, 2*defaultChange)
+}
--- a/internal/relay/hold_test.go
+++ b/internal/relay/hold_test.go
@@ -193,3 +193,23 @@
 	must.Eq(t, 1, refusals(b, admission.AllRefuse.String()))
 	must.Eq(t, 2, full.asked.Load(), must.Sprint("refused at the door"))
 }
+
+// The failure: a member does not answer. One statement finds out whether it does again; others whose time is
+// shorter than its silence are refused meanwhile.
+func TestOneStatementProbesASilentMember(t *testing.T) {
+	b := newBench(t)
+	up := b.relay.upstreams.get("m1")
+	up.noteAnswer(0, 0, group.Position{})
+	up.noteMiss(0)
+	hurried := admission.Request{ID: "x", Objective: 200 * time.Millisecond}
+	decide := func() admission.Verdict { return up.decide(time.Second, 0, hurried, admission.OnPrimary) }
+	must.True(t, decide().Admit, must.Sprint("nobody asks it"))
+	a := &attempt{s: &session{relay: b.relay}, reads: true}
+	probe := a.enterQueue(up, b.relay.now()+generous)
+	must.Eq(t, admission.Unreachable, decide().Reason)
+	second := a.enterQueue(up, b.relay.now()+generous)
+	second.leave(false)
+	must.Eq(t, admission.Unreachable, decide().Reason, must.Sprint("the first still asks"))
+	probe.leave(false)
+	must.True(t, decide().Admit)
+}
