--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,7 +138,9 @@
 // that was at once, for what reason, and what was predicted.
 func (r *Relay) noteRefusal(a *attempt, comeBack time.Duration) {
 	held, reason := r.now()-a.arrived, "held"
-	if a.decided && !a.verdict.Admit {
+	if a.hasLeft() {
+		reason = "caller_left"
+	} else if a.decided && !a.verdict.Admit {
 		reason = a.verdict.Reason.String()
 	}
 	r.countRefusal(reason, a.level())
