--- a/internal/admission/correction.go
+++ b/internal/admission/correction.go
@@ -12,10 +12,9 @@
 	deviations    = 2
 	minCorrection = 0.5
 	maxCorrection = 16
-	// leastWait is the shortest wait that is predicted where there is any: taking a
-	// connection costs about as much. Without it, what is learned of long waits
-	// would have nothing to multiply.
-	leastWait = 5 * time.Millisecond
+	// leastPredicted is the shortest predicted wait from which anything is learned: below
+	// it the time to take a connection counts as much.
+	leastPredicted = 5 * time.Millisecond
 )
 
 // Correction learns by what factor requests of a priority wait longer than predicted, as
@@ -33,7 +32,7 @@
 // Waited takes in the wait of a request for which another was predicted by the
 // uncorrected backlog. One that was given up counts with the time for which it has waited.
 func (c *Correction) Waited(seen, predicted time.Duration) {
-	if predicted < leastWait || seen < 0 {
+	if predicted < leastPredicted || seen < 0 {
 		return
 	}
 	off := clampCorrection(float64(seen)/float64(predicted)) - 1 - c.more
--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -20,9 +20,6 @@
 	if known && predicted == 0 {
 		return 0, 0
 	}
-	if known {
-		predicted = max(predicted, leastWait)
-	}
 	wait = time.Duration(float64(predicted) * l.correction.Factor())
 	if l.waiting > 0 {
 		wait = max(wait, bounded(now-l.moved))
