Feed: large values are passed on compressed, each compressed once

A value of 64 KB or more is passed on by DEFLATE to whoever says that it inflates; smaller ones as before. Broken or oversized values fail the question, and the next source is asked.

--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -29,11 +29,12 @@
 	feedpb.UnimplementedFeedServer
 	mirror *Mirror
 	now    func() time.Duration
+	packer *packer
 }
 
 // NewServer returns a server of what a mirror holds.
 func NewServer(mirror *Mirror, now func() time.Duration) *Server {
-	return &Server{mirror: mirror, now: now}
+	return &Server{mirror: mirror, now: now, packer: newPacker()}
 }
 
 // Follow implements feedpb.FeedServer.
@@ -49,7 +50,7 @@
 		now := s.now()
 		p.Live = s.mirror.Live(now)
 		if p.Revision > req.After || !IsLive(now, p.Live) || over {
-			return encode(p, arrived), nil
+			return s.encode(p, arrived, req.Inflates), nil
 		}
 		select {
 		case <-changed:
@@ -72,32 +73,52 @@
 // time now: the store held nothing newer at that time plus what the answer says,
 // since the question arrived no earlier than it was sent.
 func Ask(ctx context.Context, client feedpb.FeedClient, after int64, wait, sent time.Duration) (Picture, error) {
-	reply, err := client.Follow(ctx, &feedpb.FollowRequest{After: after, WaitUs: wait.Microseconds(), Checks: true}, grpc.MaxCallRecvMsgSize(maxAnswer))
+	reply, err := client.Follow(ctx, &feedpb.FollowRequest{After: after, WaitUs: wait.Microseconds(), Checks: true, Inflates: true}, grpc.MaxCallRecvMsgSize(maxAnswer))
 	if err != nil {
 		return Picture{}, fmt.Errorf("follow: %w", err)
 	}
-	return decode(reply, sent), nil
+	return decode(reply, sent)
 }
 
-func encode(p Picture, arrived time.Duration) *feedpb.FollowReply {
+// encode returns the answer to a question that arrived at a time, with large values compressed
+// for one who inflates them.
+func (s *Server) encode(p Picture, arrived time.Duration, inflates bool) *feedpb.FollowReply {
 	reply := &feedpb.FollowReply{
 		Revision: p.Revision, Whole: p.Whole, Unsure: p.Unsure, Digest: p.Digest,
 		ConfirmedNs: (p.Confirmed - arrived).Nanoseconds(), LiveNs: (p.Live - arrived).Nanoseconds(),
 	}
 	for _, e := range p.Events {
-		reply.Items = append(reply.Items, &feedpb.Item{Key: e.Key, Value: e.Value, Revision: e.Revision, Lease: int64(e.Lease), Deleted: e.Deleted})
+		item := &feedpb.Item{Key: e.Key, Value: e.Value, Revision: e.Revision, Lease: int64(e.Lease), Deleted: e.Deleted}
+		if deflated := s.pack(e, inflates); deflated != nil {
+			item.Value, item.Deflated = nil, deflated
+		}
+		reply.Items = append(reply.Items, item)
 	}
 	return reply
 }
 
-func decode(reply *feedpb.FollowReply, sent time.Duration) Picture {
+func (s *Server) pack(e kv.Event, inflates bool) []byte {
+	if !inflates {
+		return nil
+	}
+	return s.packer.pack(e.Item)
+}
+
+func decode(reply *feedpb.FollowReply, sent time.Duration) (Picture, error) {
 	p := Picture{Whole: reply.Whole, Unsure: reply.Unsure, Digest: reply.Digest, Revision: reply.Revision, Confirmed: sent + time.Duration(reply.ConfirmedNs),
 		Live: sent + time.Duration(reply.LiveNs),
 	}
 	for _, i := range reply.Items {
+		if len(i.Deflated) > 0 {
+			value, err := inflate(i.Deflated)
+			if err != nil {
+				return Picture{}, fmt.Errorf("key %s: %w", i.Key, err)
+			}
+			i.Value = value
+		}
 		p.Events = append(p.Events, kv.Event{
 			Item: kv.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Lease: kv.LeaseID(i.Lease)}, Deleted: i.Deleted,
 		})
 	}
-	return p
+	return p, nil
 }
