Start before many groups: work by what changed, not by all groups and instances

- Placement: a table places only the groups that a change concerns; a joining instance competes with a group's carriers only; the first of each data centre are picked instead of sorting all.
- A look at the groups: no allocation for each group (reasons of grants were formatted, the gates copied), rank counted only as far as it decides, looks spaced before more than 250 groups.
- A known record wakes nobody; the placement runs once a change, not twice.
- A watch that brought a hundred changes or more is followed by the next at once.
- Members that change by dozens are logged in one line.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,7 +8,6 @@
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/lead"
-	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
@@ -65,10 +63,14 @@
 // what the others attest.
 const idleTick = 200 * time.Millisecond
 
+// lookPerGroup is the pause before the next look for each group, which bounds the part of a
+// core that the looks take before many groups.
+const lookPerGroup = 200 * time.Microsecond
+
 // tickPause returns the pause before the next look.
 func (i *Instance) tickPause() time.Duration {
 	if i.carriesAny() || i.view.Load().Leads(i.self.Name, i.self.Incarnation) {
-		return tickInterval
+		return min(max(tickInterval, time.Duration(len(i.topology.Load().Groups))*lookPerGroup), idleTick)
 	}
 	return idleTick
 }
@@ -130,17 +132,17 @@
 
 // carriesAny reports whether this instance uses the primary of any group.
 func (i *Instance) carriesAny() bool {
-	for _, c := range i.placed {
+	for _, c := range i.placements.Placed() {
 		if c.Here {
 			return true
 		}
 	}
-	return i.placed == nil
+	return i.placements.Placed() == nil
 }
 
 // everybodyCarries reports whether each instance uses all groups.
 func (i *Instance) everybodyCarries() bool {
-	for _, c := range i.placed {
+	for _, c := range i.placements.Placed() {
 		if !c.Everybody {
 			return false
 		}
@@ -155,7 +157,7 @@
 		i.part("control").WithError(err).Error("control: an entry of our own could not be read and is left out")
 	}
 	if i.applyTopology(state, c) {
-		i.publish(state)
+		i.topology.Store(state.Snapshot())
 	}
 	if c.Whole || len(c.Events) > 0 {
 		i.view.Store(view)
@@ -172,7 +174,9 @@
 		i.knownOnce.Do(func() { close(i.known) })
 	}
 	if view.IsAlive(i.self.Name, i.self.Incarnation) && !i.stopping.Load() {
-		i.registeredOnce.Store(true)
+		if !i.registeredOnce.Swap(true) {
+			i.registeredAt.Store(int64(i.now()))
+		}
 		i.relay.StartCarrying()
 		i.heardAt.Store(int64(c.Confirmed))
 		i.limiter.Confirm(c.Confirmed)
@@ -194,23 +198,39 @@
 // changed.
 func (i *Instance) applyTopology(state *topology.State, c change) bool {
 	changed := false
-	if c.Whole {
-		present := make(map[string]bool)
-		for _, e := range c.Events {
-			changed = i.applyKey(state, e, true) || changed
-			if id, ok := i.platform.Decoder.MemberID(e.Key); ok && i.isMember(id, e) {
-				present[id] = true
-			}
+	i.changedMembers = i.changedMembers[:0]
+	present := make(map[string]bool)
+	for _, e := range c.Events {
+		changed = i.applyKey(state, e, c.Whole) || changed
+		if id, ok := i.platform.Decoder.MemberID(e.Key); ok && c.Whole && i.isMember(id, e) {
+			present[id] = true
 		}
-		state.KeepMembers(i.now(), present)
-		return changed
 	}
-	for _, e := range c.Events {
-		changed = i.applyKey(state, e, false) || changed
+	if c.Whole {
+		state.KeepMembers(i.now(), present)
 	}
+	i.logMembers()
 	return changed
 }
 
+// memberLines is how many members that have changed together are logged one by one. More
+// change where a fleet starts or the store was away.
+const memberLines = 32
+
+// logMembers logs the members that a change of the picture has changed.
+func (i *Instance) logMembers() {
+	log := i.part("control")
+	if len(i.changedMembers) > memberLines {
+		log.WithField("members", len(i.changedMembers)).Info("control: the entries of many members have changed")
+		return
+	}
+	for _, m := range i.changedMembers {
+		log.WithFields(logrus.Fields{
+			"member": m.ID, "revision": m.Revision, "group": m.Group, "draining": m.Draining, "claims_primary": m.Primary,
+		}).Info("control: a member's entry has changed")
+	}
+}
+
 // isMember reports whether an entry names a member.
 func (i *Instance) isMember(id string, e kv.Event) bool {
 	_, err := i.platform.Decoder.Member(id, e.Value)
@@ -218,18 +238,20 @@
 }
 
 func (i *Instance) applyKey(state *topology.State, e kv.Event, listed bool) bool {
-	log := i.part("control").WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision})
 	decoder := i.platform.Decoder
+	log := func() *logrus.Entry {
+		return i.part("control").WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision})
+	}
 	if decoder.IsConfig(e.Key) && !e.Deleted {
 		config, err := decoder.Config(e.Value)
 		if err != nil {
-			log.WithError(err).Error("control: the configuration cannot be read; the one before stays in force")
+			log().WithError(err).Error("control: the configuration cannot be read; the one before stays in force")
 			return false
 		}
 		if !state.SetConfig(config) {
 			return false
 		}
-		log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("control: a configuration is in force")
+		log().WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("control: a configuration is in force")
 		return true
 	}
 	id, ok := decoder.MemberID(e.Key)
@@ -237,20 +259,19 @@
 		return false
 	}
 	if e.Deleted {
-		log.WithField("member", id).Info("control: a member's entry has vanished")
+		log().WithField("member", id).Info("control: a member's entry has vanished")
 		state.DropMember(i.now(), id)
 		return false
 	}
 	m, err := decoder.Member(id, e.Value)
 	if err != nil {
-		log.WithError(err).Warn("control: an entry is no member's and names none to use")
+		log().WithError(err).Warn("control: an entry is no member's and names none to use")
 		state.DropMember(i.now(), id)
 		return false
 	}
 	m.Revision = e.Revision
 	if state.SetMember(i.now(), m, listed) {
-		log.WithFields(logrus.Fields{"member": id, "group": m.Group, "draining": m.Draining, "claims_primary": m.Primary}).
-			Info("control: a member's entry has changed")
+		i.changedMembers = append(i.changedMembers, m)
 		return true
 	}
 	return false
@@ -263,32 +284,13 @@
 	i.share(snap)
 }
 
-// sharing is what decides which instances hold connections to which groups.
-type sharing struct {
-	groups     []placement.Group
-	alive      []lead.Instance
-	registered int
-}
-
-func (s sharing) equal(other sharing) bool {
-	sameGroup := func(a, b placement.Group) bool {
-		return a.Name == b.Name && a.MaxConnections == b.MaxConnections && slices.Equal(a.Homes, b.Homes)
-	}
-	return s.registered == other.registered && slices.Equal(s.alive, other.alive) && slices.EqualFunc(s.groups, other.groups, sameGroup)
-}
-
-// share decides which instances hold connections to which groups, and how many. Most
-// changes of the picture leave that as it is, and to rank all instances for each group is
-// most of what a change costs.
+// share decides which instances hold connections to which groups, and how many.
 func (i *Instance) share(snap *topology.Snapshot) {
 	view := i.view.Load()
-	now := sharing{groups: relay.Groups(snap), alive: view.Alive(), registered: len(view.Registered(i.now()))}
-	if i.placed == nil || !now.equal(i.shared) {
-		i.shared = now
-		i.placed = relay.Place(now.groups, i.self, now.alive, now.registered)
-		i.relay.SetCarriers(i.placed)
+	if i.placements.Update(relay.Groups(snap), view.Alive(), len(view.Registered(i.now()))) {
+		i.relay.SetCarriers(i.placements.Placed())
 	}
-	i.upstreams.Update(snap, i.placed, i.self.DataCentre)
+	i.upstreams.Update(snap, i.placements.Placed(), i.self.DataCentre)
 }
 
 // surroundings gives the controller its picture of the instance.
@@ -298,7 +300,23 @@
 func (s surroundings) View() *lead.View             { return s.i.view.Load() }
 func (s surroundings) Gate(group string) *lead.Gate { return s.i.relay.Gate(group) }
 
+// leadAfterPerGroup is for how long after its registration an instance leaves groups without
+// a leader to others, for each group that there is. Instances that start together do not know
+// of one another at once; each would try to lead all groups meanwhile, and the store takes
+// a few hundred writes a second.
+const leadAfterPerGroup = 2 * time.Millisecond
+
+// mayLead reports whether an instance that has been registered for a time takes over groups
+// without a leader.
+func mayLead(registeredFor time.Duration, groups int) bool {
+	return registeredFor >= time.Duration(groups)*leadAfterPerGroup
+}
+
 func (s surroundings) Lease() kv.LeaseID {
+	registeredFor := s.i.now() - time.Duration(s.i.registeredAt.Load())
+	if !mayLead(registeredFor, len(s.i.topology.Load().Groups)) {
+		return 0
+	}
 	if !s.i.view.Load().IsAlive(s.i.self.Name, s.i.self.Incarnation) {
 		return 0
 	}
@@ -309,12 +327,16 @@
 func (s surroundings) Doubtful(id string) bool               { return s.i.upstreams.Doubtful(id) }
 func (s surroundings) Carries(group string) bool             { return s.i.relay.Carries(group) }
 
-func (s surroundings) Rank(group string) int {
+func (s surroundings) Rank(group string, most int) int {
 	carriers := s.i.relay.CarriersOf(group)
 	if rank, ok := carriers.Rank(s.i.self.Name); ok {
-		return rank
+		return min(rank, most)
+	}
+	before := len(carriers.Names)
+	if before >= most {
+		return most
 	}
-	return len(carriers.Names) + s.i.view.Load().Rank(group, s.i.self.Name)
+	return before + s.i.view.Load().RankUpTo(group, s.i.self.Name, most-before)
 }
 
 func (s surroundings) Users(group string) []lead.Instance {
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -31,6 +31,8 @@
 	// quickSuccession is how soon after a watch was sent changes must have come to
 	// count as such.
 	quickSuccession = 500 * time.Millisecond
+	// manyEvents is how many changes make an answer of the store worth its call.
+	manyEvents = 100
 	// storeTimeout bounds any other call but a list.
 	storeTimeout = 1500 * time.Millisecond
 	// listTimeout bounds a list of all that the store holds, whose answer may be long. One
@@ -70,13 +72,20 @@
 			err = i.outOfDate(source.Name, picture)
 		}
 		i.noteSource(sources, source.Name, err)
-		if err == nil && source.Name == feed.Store && len(picture.Events) > 0 && !picture.Whole {
+		if err == nil && source.Name == feed.Store && restAfter(picture) {
 			sleep(i.ctx, rest)
 		}
 	}
 	return nil
 }
 
+// restAfter reports whether a follower rests after a watch, so that the next brings more at
+// once. One that has brought much need not wait for more: the store bounds its answers, and
+// where many instances start, those that rest fall behind by seconds.
+func restAfter(p feed.Picture) bool {
+	return !p.Whole && len(p.Events) > 0 && len(p.Events) < manyEvents
+}
+
 // peersAlive returns the instances whose lease holds, by name and for ranking.
 func (i *Instance) peersAlive() (map[string]lead.Instance, []ownership.Instance) {
 	alive := i.view.Load().Alive()
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -110,7 +110,8 @@
 	pictureAt      atomic.Int64 // when the last store call was sent, by whomever, that showed nothing newer than the picture
 	heardAt        atomic.Int64 // when the last store call was sent, by whomever, that confirmed the grants
 	registeredOnce atomic.Bool
-	settlement     settlement // of the registration
+	registeredAt   atomic.Int64 // when this process was first seen to be registered; meaningful once it was
+	settlement     settlement   // of the registration
 	stopping       atomic.Bool
 
 	mirror     *feed.Mirror  // what is known of the store, for this instance and those that follow it
@@ -136,8 +137,8 @@
 
 	watchFailed bool // the last watch got no answer; of the follower
 
-	shared sharing                   // what the placement rests on; of the control goroutine
-	placed map[string]relay.Carriers // by group, nil: not known yet; the same
+	placements     *relay.Placements // of the control goroutine
+	changedMembers []topology.Member // by the change that is taken in; the same
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -170,6 +171,7 @@
 		return nil, fmt.Errorf("background tasks: %w", err)
 	}
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
+	i.placements = relay.NewPlacements(i.self)
 	i.limiter = limits.New(limits.Config{
 		Self: i.self, Rules: settings.Limits, Accounts: i.accounts, Conns: i.conns,
 		Now: i.now, Spawn: i.spawn, Log: i.part("limits"), Metrics: i.set,
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -301,6 +301,9 @@
 
 // discover finds the primary of a group whose record names none.
 func (c *Controller) discover(ctx context.Context, group string, g *ledGroup) {
+	if c.turns.paused(c.now()) {
+		return
+	}
 	record, revision := c.around.Gate(group).Record()
 	for _, f := range c.askAll(ctx, c.around.Topology().ByGroup[group], "") {
 		if f.status.Primary && f.status.Term >= record.Term {
@@ -308,10 +311,13 @@
 			c.around.NoteAnswer(f.member.ID)
 		}
 	}
-	if record.Primary == "" {
+	began := c.now()
+	if record.Primary == "" || !c.turns.begin(began) {
 		return
 	}
-	if _, err := c.write(ctx, group, g, record, revision); err != nil {
+	_, err := c.write(ctx, group, g, record, revision)
+	c.turns.end(began, c.now(), err)
+	if err != nil {
 		c.log.WithField("group", group).WithError(err).Warn("lead: the primary that was found could not be written to the store")
 		return
 	}
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -74,8 +74,9 @@
 	// among them.
 	Users(group string) []Instance
 	// Rank returns the place of this instance among those that could lead a group, 0
-	// for the first.
-	Rank(group string) int
+	// for the first, or most when it is no better. The fewer have to be counted, the less
+	// each look at a group without a leader costs.
+	Rank(group string, most int) int
 	// Alone reports whether a group's primary has more than it can run while none of
 	// its replicas can serve reads.
 	Alone(group, primary string) bool
@@ -103,6 +104,8 @@
 	peers    *peerconn.Conns
 	own      *Server // answers this instance's own questions
 
+	turns writeTurns // of the writes that begin to lead a group
+
 	attestAll atomic.Bool // the last round of attestation has not found a quorum
 
 	mu     sync.Mutex // guards groups
@@ -208,17 +211,18 @@
 	case lease == 0 || leader.Instance != "" && !view.Orphaned(group):
 		return nil
 	case leader.Instance != "":
-		if c.around.Rank(group) > 0 {
+		if c.around.Rank(group, 1) > 0 {
 			return nil // the key lapses with its lease; meanwhile the first in rank may take it
 		}
 		return c.takeOver
 	}
 	since, known := view.Leaderless(c.now(), group)
-	if known && since < time.Duration(c.around.Rank(group))*rankDelay {
-		return nil
+	last := 0 // in rank of those whose turn it is; a group without a record the first creates
+	if known {
+		last = int(since / rankDelay)
 	}
-	if !known && c.around.Rank(group) > 0 {
-		return nil // a group without a record: the first in rank creates it
+	if c.around.Rank(group, last+1) > last {
+		return nil
 	}
 	return c.takeOver
 }
@@ -250,8 +254,9 @@
 	view := c.around.View()
 	record, revision := view.Record(group)
 	_, leaderRevision := view.Leader(group)
-	tried, due := g.tried.next(c.now(), leaderRevision, revision)
-	if !due {
+	began := c.now()
+	tried, due := g.tried.next(began, leaderRevision, revision)
+	if !due || !c.turns.begin(began) {
 		return
 	}
 	g.tried = tried
@@ -267,6 +272,7 @@
 			{Key: prefixGroup + group, Value: encode(record)},
 		},
 	})
+	c.turns.end(began, c.now(), err)
 	log := c.log.WithFields(logrus.Fields{"group": group, "generation": record.Generation, "revision": revision})
 	if err != nil {
 		// Whether it took effect shows in the watch, and only that counts.
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -42,7 +43,7 @@
 func (f *fixture) NoteAnswer(string)                            {}
 func (f *fixture) Carries(string) bool                          { return !f.idle }
 func (f *fixture) Users(string) []Instance                      { return f.view.Alive() }
-func (f *fixture) Rank(group string) int                        { return f.view.Rank(group, f.name) }
+func (f *fixture) Rank(group string, most int) int              { return f.view.RankUpTo(group, f.name, most) }
 func (f *fixture) Alone(string, string) bool                    { return f.alone }
 func (f *fixture) Behind(string, group.Position) time.Duration  { return f.behind }
 func (f *fixture) Event(string, string, string, uint64, string) {}
@@ -233,3 +234,67 @@
 	must.True(t, ok, must.Sprint("the picture is another"))
 	must.Eq(t, minTakeOverPause, moved.pause)
 }
+
+// The load: a thousand groups whose records an instance learns again with each change. A record
+// that is known wakes nobody, unless authority comes or goes with it.
+func TestAKnownRecordWakesNobody(t *testing.T) {
+	now := time.Duration(0)
+	g := NewGate(func() time.Duration { return now })
+	record := Record{Group: "g", Primary: "m1", Term: 1}
+	woken := func(changed <-chan struct{}) bool {
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	learn := func(revision int64) bool {
+		changed := g.Changed()
+		g.Learn(record, revision)
+		return woken(changed)
+	}
+	must.True(t, learn(1))
+	must.True(t, learn(1), must.Sprint("not confirmed yet"))
+	g.Confirm(now)
+	must.False(t, learn(1))
+	must.True(t, learn(2))
+	now += VerifiableFor + time.Second
+	must.True(t, learn(2), must.Sprint("the grant is over"))
+}
+
+// Usable tells the same as Authority, in every state of a grant.
+func TestUsableIsAuthority(t *testing.T) {
+	for _, record := range []Record{{}, {Primary: "m1", Term: 1}, {Primary: "m1", Change: &Change{ID: "c"}}} {
+		for _, change := range []func(*Grant){
+			func(*Grant) {},
+			func(g *Grant) { g.Learn(record, 5) },
+			func(g *Grant) { g.Learn(record, 5); g.Confirm(time.Second) },
+			func(g *Grant) { g.Learn(record, 5); g.Confirm(time.Second); g.Release(6) },
+		} {
+			var g Grant
+			change(&g)
+			for _, now := range []time.Duration{time.Second, time.Second + VerifiableFor} {
+				_, err := g.Authority(now)
+				must.Eq(t, err == nil, g.Usable(now))
+			}
+		}
+	}
+}
+
+func TestRankUpTo(t *testing.T) {
+	v := NewView()
+	var events []kv.Event
+	for n := range 20 {
+		name := fmt.Sprint("i", n)
+		events = append(events, kv.Event{Item: kv.Item{Key: prefixInstance + name, Value: encode(Instance{Name: name}), Revision: 1}},
+			kv.Event{Item: kv.Item{Key: prefixAlive + name, Value: []byte(name), Revision: 1}})
+	}
+	v, err := v.Apply(0, events)
+	must.NoError(t, err)
+	for n := range 21 { // the last is not alive
+		for most := range 25 {
+			must.Eq(t, min(v.Rank("g", fmt.Sprint("i", n)), most), v.RankUpTo("g", fmt.Sprint("i", n), most))
+		}
+	}
+}
--- a/internal/lead/gate.go
+++ b/internal/lead/gate.go
@@ -127,11 +127,23 @@
 	return g.grant.Record()
 }
 
-// Learn takes in the record as the store holds it.
+// Learn takes in the record as the store holds it. One that is known already wakes nobody
+// while there is authority: an instance learns the records of all groups again with each change.
 func (g *Gate) Learn(record Record, revision int64) {
+	if g.knows(revision) {
+		return
+	}
 	g.update(func(grant *Grant) { grant.Learn(record, revision) })
 }
 
+// knows reports whether there is authority by the record with a revision, or a later one.
+func (g *Gate) knows(revision int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteLoss()
+	return !g.lost && revision <= g.grant.revision
+}
+
 // Settle takes in the outcome of a change from the leader.
 func (g *Gate) Settle(record Record, revision int64) {
 	g.update(func(grant *Grant) { grant.Settle(record, revision) })
@@ -169,11 +181,11 @@
 
 // noteLoss keeps account of since when there is no authority. The caller holds mu.
 func (g *Gate) noteLoss() {
-	_, err := g.grant.Authority(g.now())
-	if err == nil {
+	now := g.now()
+	if g.grant.Usable(now) {
 		g.lost = false
 	} else if !g.lost {
-		g.lost, g.lostAt = true, g.now()
+		g.lost, g.lostAt = true, now
 	}
 }
 
--- a/internal/lead/grant.go
+++ b/internal/lead/grant.go
@@ -153,6 +153,11 @@
 	return a, nil
 }
 
+// Usable reports whether Authority names a primary.
+func (g *Grant) Usable(now time.Duration) bool {
+	return g.revision > 0 && g.record.Primary != "" && g.record.Change == nil && g.revision >= g.released && !g.Over(now)
+}
+
 // Confirmed reports whether no other member can have been promoted yet.
 func (g *Grant) Confirmed(now time.Duration) bool {
 	return g.heard && now-g.confirmed < StorelessValidity && now-max(g.confirmed, g.attested) < GrantValidity
--- /dev/null
+++ b/internal/lead/turn_test.go
@@ -0,0 +1,51 @@
+package lead
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/stackspindle/stackspindle/internal/kv"
+)
+
+// The load: hundreds of groups have no leader. Few writes are under way at once.
+func TestWritesAtOnce(t *testing.T) {
+	var w writeTurns
+	for range writesAtOnce {
+		must.True(t, w.begin(0))
+	}
+	must.False(t, w.begin(0))
+	w.end(0, 0, nil)
+	must.True(t, w.begin(0))
+}
+
+// The failure: the store turns calls away. Those that were under way together count once, each
+// further refusal doubles the pause, and a write that is not refused ends it.
+func TestRefusedWrites(t *testing.T) {
+	var w writeTurns
+	refused := fmt.Errorf("txn: %w", kv.ErrUnavailable)
+	now := time.Duration(0)
+	for _, pause := range []time.Duration{100, 200, 400, 800, 1600, 1600} {
+		for range 5 {
+			must.True(t, w.begin(now))
+		}
+		for range 5 {
+			w.end(now, now, refused)
+		}
+		must.False(t, w.begin(now+pause*time.Millisecond-1))
+		must.True(t, w.paused(now+pause*time.Millisecond-1))
+		now += pause * time.Millisecond
+		must.False(t, w.paused(now))
+	}
+	for _, err := range []error{nil, &kv.ConflictError{}, errors.New("no answer")} {
+		must.True(t, w.begin(now))
+		w.end(now, now, err)
+		must.True(t, w.begin(now), must.Sprint(err))
+		w.end(now, now, refused)
+		must.False(t, w.begin(now+minRefusedPause-1))
+		now += minRefusedPause
+	}
+}
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -298,12 +298,18 @@
 
 // Rank returns the place of an instance among those whose lease holds, for a key, 0
 // for the first. One whose lease is gone comes last.
-func (v *View) Rank(key, name string) int {
+func (v *View) Rank(key, name string) int { return v.RankUpTo(key, name, len(v.living)) }
+
+// RankUpTo is Rank for one that needs to know only whether the place is below a number.
+func (v *View) RankUpTo(key, name string, most int) int {
 	if _, alive := v.alive[name]; !alive {
-		return len(v.living)
+		return min(len(v.living), most)
 	}
 	own, before := ownership.Score(key, name), 0
 	for _, i := range v.living {
+		if before >= most {
+			break
+		}
 		if score := ownership.Score(key, i.Name); score > own || score == own && i.Name < name {
 			before++
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,7 +15,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strings"
 
 	"github.com/stackspindle/stackspindle/internal/ownership"
 )
@@ -60,7 +62,7 @@
 // registered is how many may use connections, those included that may have died.
 func Place(g Group, alive []ownership.Instance, registered int) Carriers {
 	usable := g.MaxConnections - Reserved
-	if usable/leastPool >= registered {
+	if g.everybody(registered) {
 		count := max(1, registered) // none is known while an instance starts
 		return Carriers{Everybody: true, usable: usable, count: count}
 	}
@@ -72,6 +74,12 @@
 	return Carriers{Names: names, atHome: atHome, usable: usable, count: most}
 }
 
+// everybody reports whether each of so many registered instances can have connections to the
+// group's members.
+func (g Group) everybody(registered int) bool {
+	return (g.MaxConnections-Reserved)/leastPool >= registered
+}
+
 // choose takes the first in rank of each member's data centre, and fills up with
 // others where one has too few instances.
 func choose(g Group, alive []ownership.Instance, most int) ([]string, map[string]int) {
@@ -85,7 +93,7 @@
 	}
 	var names, others []string
 	atHome := make(map[string]int, len(g.Homes))
-	for _, name := range ownership.Rank(ownership.Group{Name: g.Name}, alive) {
+	for _, name := range ownership.Rank(ownership.Group{Name: g.Name}, contenders(g.Name, alive, places, most)) {
 		home := dataCentres[name]
 		if places[home] == 0 || len(names) == most {
 			others = append(others, name)
@@ -99,6 +107,44 @@
 	return append(names, others[:missing]...), atHome
 }
 
+// contender is an instance with its rank for a group, the highest score first.
+type contender struct {
+	ownership.Instance
+	score uint64
+}
+
+// contenders returns the instances that may be chosen: the first in rank of each data centre,
+// as many as there are places, and the first of all. To sort all is most of what a placement
+// costs where there are hundreds.
+func contenders(group string, alive []ownership.Instance, places map[string]int, most int) []ownership.Instance {
+	var first []contender
+	near := make(map[string][]contender, len(places))
+	for _, i := range alive {
+		c := contender{Instance: i, score: ownership.Score(group, i.Name)}
+		first = insert(first, c, most)
+		if n := places[i.DataCentre]; n > 0 {
+			near[i.DataCentre] = insert(near[i.DataCentre], c, n)
+		}
+	}
+	chosen := make(map[ownership.Instance]bool, most)
+	for _, c := range slices.Concat(append(slices.Collect(maps.Values(near)), first)...) {
+		chosen[c.Instance] = true
+	}
+	return slices.Collect(maps.Keys(chosen))
+}
+
+// insert adds a contender to a list of the first n in rank.
+func insert(list []contender, c contender, n int) []contender {
+	if len(list) == n && c.score < list[n-1].score {
+		return list
+	}
+	at, _ := slices.BinarySearchFunc(list, c, func(a, b contender) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(a.Name, b.Name))
+	})
+	list = slices.Insert(list, at, c)
+	return list[:min(n, len(list))]
+}
+
 // Includes reports whether an instance is one of the carriers.
 func (c Carriers) Includes(name string) bool { return c.Everybody || slices.Contains(c.Names, name) }
 
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -32,30 +32,6 @@
 	return groups
 }
 
-// Place returns the carriers of each group, as one instance sees them. registered is
-// how many may use connections; where all of them can, this instance does whether its
-// lease holds or not.
-func Place(groups []placement.Group, self lead.Instance, alive []lead.Instance, registered int) map[string]Carriers {
-	placed := make(map[string]Carriers, len(groups))
-	byName := make(map[string]lead.Instance, len(alive))
-	candidates := make([]ownership.Instance, 0, len(alive))
-	for _, i := range alive {
-		byName[i.Name] = i
-		candidates = append(candidates, candidate(i))
-	}
-	for _, group := range groups {
-		c := Carriers{Carriers: placement.Place(group, candidates, registered)}
-		c.Here = c.Includes(self.Name)
-		for _, name := range c.Names {
-			if name != self.Name {
-				c.Others = append(c.Others, byName[name])
-			}
-		}
-		placed[group.Name] = c
-	}
-	return placed
-}
-
 func candidate(i lead.Instance) ownership.Instance {
 	return ownership.Instance{Name: i.Name, DataCentre: i.DataCentre}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,8 +33,9 @@
 	carrierConns *carrierConns
 	carrying     atomic.Bool // statements of other instances may be run here
 
-	mu    sync.Mutex // guards gates
+	mu    sync.Mutex // guards gates and named
 	gates map[string]*lead.Gate
+	named []namedGate // the same, only added to
 }
 
 // Config is what a relay works with.
@@ -73,20 +74,24 @@
 	if g == nil {
 		g = lead.NewGate(r.now)
 		r.gates[group] = g
+		r.named = append(r.named, namedGate{group, g})
 	}
 	return g
 }
 
+// namedGate is the gate of a group.
+type namedGate struct {
+	group string
+	gate  *lead.Gate
+}
+
 // Gates calls f with every group's gate.
 func (r *Relay) Gates(f func(group string, g *lead.Gate)) {
 	r.mu.Lock()
-	gates := make(map[string]*lead.Gate, len(r.gates))
-	for group, g := range r.gates {
-		gates[group] = g
-	}
+	named := r.named
 	r.mu.Unlock()
-	for group, g := range gates {
-		f(group, g)
+	for _, n := range named {
+		f(n.group, n.gate)
 	}
 }
 
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -67,7 +67,9 @@
 
 // placedFor returns the placement before a number of registered instances.
 func placedFor(snap *topology.Snapshot, registered int) map[string]Carriers {
-	return Place(Groups(snap), lead.Instance{}, nil, registered)
+	placements := NewPlacements(lead.Instance{})
+	placements.Update(Groups(snap), nil, registered)
+	return placements.Placed()
 }
 
 // run has a session answer a statement that arrives now.
