--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/config"
 	"github.com/stackspindle/stackspindle/internal/fleet"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/logs"
 	"github.com/stackspindle/stackspindle/internal/relay"
 	"github.com/stackspindle/stackspindle/platform"
@@ -81,6 +82,8 @@
 	return fleet.Settings{
 		Name:          s.Name,
 		DataCentre:    s.DataCentre,
+		Places:        locality.New(s.Regions),
+		Strength:      s.Capacity.Strength(),
 		CallerListen:  s.CallerListen,
 		PeerListen:    s.PeerListen,
 		PeerAddress:   s.PeerAddress,
@@ -88,6 +91,7 @@
 		MetricsListen: s.Fleet.Metrics,
 		Grace:         s.Fleet.Grace,
 		LeaseTTL:      s.Fleet.Lease,
+		DrainTime:     s.Fleet.Drain,
 		StoreSilence:  s.Fleet.StoreSilence,
 		MaxCallers:    s.Caller.MaxCallers,
 		FirstStart:    s.Fleet.FirstStart,
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -46,6 +46,7 @@
 			continue
 		case <-report.C:
 			i.upstreams.Report(i.part("relay"))
+			i.reportCrossing()
 		case <-i.ctx.Done():
 			return nil
 		}
@@ -170,6 +171,7 @@
 		i.limiter.Learn(view.Names(), view.Alive())
 	}
 	i.pictureAt.Store(max(i.pictureAt.Load(), int64(c.Confirmed)))
+	i.inForce.Store(max(i.inForce.Load(), c.Revision))
 	if c.Whole {
 		i.knownOnce.Do(func() { close(i.known) })
 	}
@@ -287,8 +289,10 @@
 // share decides which instances hold connections to which groups, and how many.
 func (i *Instance) share(snap *topology.Snapshot) {
 	view := i.view.Load()
+	before := i.placements.Placed()
 	if i.placements.Update(relay.Groups(snap), view.Alive(), len(view.Registered(i.now()))) {
 		i.relay.SetCarriers(i.placements.Placed())
+		i.reportPlacement(before)
 	}
 	i.upstreams.Update(snap, i.placements.Placed(), i.self.DataCentre)
 }
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -37,6 +37,8 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+
+	"github.com/stackspindle/stackspindle/internal/placement"
 )
 
 // Keys in the store.
@@ -55,9 +57,15 @@
 	Address     string `json:"address"`     // for calls of other instances
 	DataCentre  string `json:"data_centre"`
 
+	Strength placement.Strength `json:"strength,omitzero"` // what the instance can bear
+
 	// Settled says that the instance has been registered for long enough to hold shares of
 	// the client accounts' limits, also after a restart.
 	Settled bool `json:"settled,omitempty"`
+
+	// Seen is a revision of the store whose contents the process had in force when it
+	// wrote this: it knows of all that has been there unchanged since. 0: not told.
+	Seen int64 `json:"seen,omitempty"`
 }
 
 // Change is a change of primary that is under way.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,10 +15,10 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/ownership"
 )
 
@@ -34,9 +34,9 @@
 	// farPool is how many connections to a member a carrier in another data centre has: one
 	// that a transaction holds, and one for everything else.
 	farPool = leastPool
-	// perMember is how many carriers stand in the data centre of each member: while
+	// PerMember is how many carriers stand in the data centre of each member: while
 	// one is gone the other serves.
-	perMember = 2
+	PerMember = 2
 	// perSlot is how many statements may be at a member for each that it runs: one
 	// that runs, and one on its way or waiting.
 	perSlot = 2
@@ -49,6 +49,13 @@
 	Homes          []string // data centre of each member
 }
 
+// Fleet is what placement knows of the instances.
+type Fleet struct {
+	Alive      []ownership.Instance
+	Registered int          // may use connections, those included that may have died
+	Places     locality.Map // of the data centres
+}
+
 // Carriers are the instances that hold connections to a group's members.
 type Carriers struct {
 	Everybody bool     // each instance does, so that nobody passes statements on
@@ -58,91 +65,31 @@
 	count     int
 }
 
-// Place returns the carriers of a group among the instances that are alive.
-// registered is how many may use connections, those included that may have died.
-func Place(g Group, alive []ownership.Instance, registered int) Carriers {
-	usable := g.MaxConnections - Reserved
-	if g.everybody(registered) {
-		count := max(1, registered) // none is known while an instance starts
-		return Carriers{Everybody: true, usable: usable, count: count}
-	}
-	most := max(1, usable/sharedPool)
-	if len(g.Homes) > 0 {
-		most = min(most, perMember*len(g.Homes))
-	}
-	names, atHome := choose(g, alive, most)
-	return Carriers{Names: names, atHome: atHome, usable: usable, count: most}
-}
-
-// everybody reports whether each of so many registered instances can have connections to the
-// group's members.
+// everybody reports whether each instance can have connections of its own.
 func (g Group) everybody(registered int) bool {
 	return (g.MaxConnections-Reserved)/leastPool >= registered
 }
 
-// choose takes the first in rank of each member's data centre, and fills up with
-// others where one has too few instances.
-func choose(g Group, alive []ownership.Instance, most int) ([]string, map[string]int) {
-	places := make(map[string]int, len(g.Homes))
-	for _, home := range g.Homes {
-		places[home] += perMember
-	}
-	dataCentres := make(map[string]string, len(alive))
-	for _, i := range alive {
-		dataCentres[i.Name] = i.DataCentre
-	}
-	var names, others []string
-	atHome := make(map[string]int, len(g.Homes))
-	for _, name := range ownership.Rank(ownership.Group{Name: g.Name}, contenders(g.Name, alive, places, most)) {
-		home := dataCentres[name]
-		if places[home] == 0 || len(names) == most {
-			others = append(others, name)
-			continue
-		}
-		places[home]--
-		atHome[home]++
-		names = append(names, name)
-	}
-	missing := min(most-len(names), len(others))
-	return append(names, others[:missing]...), atHome
-}
-
-// contender is an instance with its rank for a group, the highest score first.
-type contender struct {
-	ownership.Instance
-	score uint64
-}
-
-// contenders returns the instances that may be chosen: the first in rank of each data centre,
-// as many as there are places, and the first of all. To sort all is most of what a placement
-// costs where there are hundreds.
-func contenders(group string, alive []ownership.Instance, places map[string]int, most int) []ownership.Instance {
-	var first []contender
-	near := make(map[string][]contender, len(places))
-	for _, i := range alive {
-		c := contender{Instance: i, score: ownership.Score(group, i.Name)}
-		first = insert(first, c, most)
-		if n := places[i.DataCentre]; n > 0 {
-			near[i.DataCentre] = insert(near[i.DataCentre], c, n)
-		}
-	}
-	chosen := make(map[ownership.Instance]bool, most)
-	for _, c := range slices.Concat(append(slices.Collect(maps.Values(near)), first)...) {
-		chosen[c.Instance] = true
+// most returns how many carriers the group has where not every instance can be one.
+func (g Group) most() int {
+	most := max(1, (g.MaxConnections-Reserved)/sharedPool)
+	if len(g.Homes) > 0 {
+		most = min(most, PerMember*len(g.Homes))
 	}
-	return slices.Collect(maps.Keys(chosen))
+	return most
 }
 
-// insert adds a contender to a list of the first n in rank.
-func insert(list []contender, c contender, n int) []contender {
-	if len(list) == n && c.score < list[n-1].score {
-		return list
+// Place returns the carriers of each group, by name. Groups are placed in the order of their
+// names, so that all instances agree on who has reached its bound.
+func Place(groups []Group, f Fleet) map[string]Carriers {
+	p := newPlacer(groups, f)
+	placed := make(map[string]Carriers, len(groups))
+	sorted := slices.Clone(groups)
+	slices.SortFunc(sorted, func(a, b Group) int { return strings.Compare(a.Name, b.Name) })
+	for _, g := range sorted {
+		placed[g.Name] = p.place(g)
 	}
-	at, _ := slices.BinarySearchFunc(list, c, func(a, b contender) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(a.Name, b.Name))
-	})
-	list = slices.Insert(list, at, c)
-	return list[:min(n, len(list))]
+	return placed
 }
 
 // Includes reports whether an instance is one of the carriers.
@@ -192,25 +139,19 @@
 }
 
 // Order sorts carriers into the order in which an instance passes statements to them:
-// those in the preferred data centre first, then those in its own, then the others.
+// by their distance to the preferred data centre, then by that to its own.
 // Among equals each instance begins with another one, so that the carriers share the work.
-func Order[C any](carriers []C, of func(C) ownership.Instance, caller Caller, preferred string) []C {
+// They do so evenly, also where one is stronger: what an instance may have running at a member
+// is bounded, so that one with most of the statements would hold back what the member could run.
+func Order[C any](carriers []C, of func(C) ownership.Instance, caller Caller, preferred string, places locality.Map) []C {
 	sorted := slices.Clone(carriers)
-	distance := func(i ownership.Instance) int {
-		switch i.DataCentre {
-		case preferred:
-			return 0
-		case caller.DataCentre:
-			return 1
-		}
-		return 2
-	}
 	slices.SortStableFunc(sorted, func(a, b C) int {
 		ia, ib := of(a), of(b)
-		if d := cmp.Compare(distance(ia), distance(ib)); d != 0 {
-			return d
-		}
-		return cmp.Compare(ownership.Score(caller.Name, ia.Name), ownership.Score(caller.Name, ib.Name))
+		return cmp.Or(
+			cmp.Compare(places.Distance(ia.DataCentre, preferred), places.Distance(ib.DataCentre, preferred)),
+			cmp.Compare(places.Distance(ia.DataCentre, caller.DataCentre), places.Distance(ib.DataCentre, caller.DataCentre)),
+			cmp.Compare(ownership.Score(caller.Name, ia.Name), ownership.Score(caller.Name, ib.Name)),
+		)
 	})
 	return sorted
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -11,11 +11,15 @@
 // announced changes the picture, and to rank all instances for all groups each time costs the
 // product of the three. Only those groups are placed anew that a change concerns.
 //
+// Where instances are unlike, each group's carriers depend on those of the others, and all are
+// placed anew.
+//
 // What it returns is always what Place returns. It is not safe for concurrent use.
 type Table struct {
 	rows       map[string]*row
 	alive      map[string]ownership.Instance
 	registered int
+	unlike     bool // the instances were, at the last update
 }
 
 // row is the placement of one group.
@@ -31,31 +35,53 @@
 
 // Update takes in the groups and the instances as they are now. It calls placed with each
 // group whose carriers were computed anew, and removed with each that is gone.
-func (t *Table) Update(groups []Group, alive []ownership.Instance, registered int, placed func(string, Carriers), removed func(string)) {
-	change := t.changed(alive, registered)
+func (t *Table) Update(groups []Group, f Fleet, placed func(string, Carriers), removed func(string)) {
+	change := t.changed(f)
+	unlike := !ownership.Weigh(f.Alive).Alike()
+	if unlike || t.unlike {
+		t.placeAll(groups, f, placed)
+	} else {
+		t.placeChanged(groups, f, change, placed)
+	}
+	t.unlike = unlike
 	present := make(map[string]bool, len(groups))
 	for _, g := range groups {
 		present[g.Name] = true
+	}
+	for name := range t.rows {
+		if !present[name] {
+			delete(t.rows, name)
+			removed(name)
+		}
+	}
+}
+
+func (t *Table) placeAll(groups []Group, f Fleet, placed func(string, Carriers)) {
+	all := Place(groups, f)
+	for _, g := range groups {
+		t.rows[g.Name] = &row{group: g, carriers: all[g.Name]}
+		placed(g.Name, all[g.Name])
+	}
+}
+
+func (t *Table) placeChanged(groups []Group, f Fleet, change fleetChange, placed func(string, Carriers)) {
+	among := newPlacer(nil, f) // of alike instances, none of which has a bound
+	for _, g := range groups {
 		r := t.rows[g.Name]
 		switch {
 		case r == nil:
-			r = &row{group: g, carriers: Place(g, alive, registered)}
+			r = &row{group: g, carriers: among.place(g)}
 			t.rows[g.Name] = r
 		case !r.group.Equal(g) || change.concerns(r):
-			r.group, r.carriers = g, Place(g, alive, registered)
+			r.group, r.carriers = g, among.place(g)
 		case change.enters(r):
-			r.carriers = Place(g, change.contenders(r), registered)
+			f.Alive = change.contenders(r)
+			r.carriers = newPlacer(nil, f).place(g)
 		default:
 			continue
 		}
 		placed(g.Name, r.carriers)
 	}
-	for name := range t.rows {
-		if !present[name] {
-			delete(t.rows, name)
-			removed(name)
-		}
-	}
 }
 
 // Equal reports whether two groups are placed alike.
@@ -73,10 +99,10 @@
 
 // changed notes the instances and returns how they differ from the last. One whose description
 // has changed has left and joined.
-func (t *Table) changed(alive []ownership.Instance, registered int) fleetChange {
-	change := fleetChange{left: make(map[string]bool), registered: t.registered, registries: registered}
-	now := make(map[string]ownership.Instance, len(alive))
-	for _, i := range alive {
+func (t *Table) changed(f Fleet) fleetChange {
+	change := fleetChange{left: make(map[string]bool), registered: t.registered, registries: f.Registered}
+	now := make(map[string]ownership.Instance, len(f.Alive))
+	for _, i := range f.Alive {
 		now[i.Name] = i
 		if before, known := t.alive[i.Name]; !known || before != i {
 			change.joined = append(change.joined, i)
@@ -87,28 +113,28 @@
 			change.left[name] = true
 		}
 	}
-	change.alive, t.alive, t.registered = now, now, registered
+	change.alive, t.alive, t.registered = now, now, f.Registered
 	return change
 }
 
 // concerns reports whether the group has to be placed among all instances: it depends on
-// how many are registered, or has lost a carrier.
+// how many are registered, has lost a carrier, or was short of instances near its members.
 func (c fleetChange) concerns(r *row) bool {
 	if r.carriers.Everybody || r.group.everybody(c.registries) {
 		return c.registered != c.registries
 	}
+	if len(c.joined) > 0 && !r.full() {
+		return true
+	}
 	return slices.ContainsFunc(r.carriers.Names, func(name string) bool { return c.left[name] })
 }
 
-// enters reports whether an instance that has joined may be a carrier: it ranks before one, or
-// the group is not full. Else one that ranks last can take nobody's place.
+// enters reports whether an instance that has joined ranks before a carrier. One that ranks
+// last can take nobody's place where the group is full.
 func (c fleetChange) enters(r *row) bool {
 	if len(c.joined) == 0 || r.carriers.Everybody {
 		return false
 	}
-	if !r.full() {
-		return true
-	}
 	last := ^uint64(0)
 	for _, name := range r.carriers.Names {
 		last = min(last, ownership.Score(r.group.Name, name))
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -33,7 +33,7 @@
 }
 
 func candidate(i lead.Instance) ownership.Instance {
-	return ownership.Instance{Name: i.Name, DataCentre: i.DataCentre}
+	return ownership.Instance{Name: i.Name, DataCentre: i.DataCentre, Weight: i.Strength.Carrying()}
 }
 
 // SetCarriers makes a placement known to the traffic.
@@ -57,8 +57,9 @@
 func (r *Relay) Carries(group string) bool { return r.CarriersOf(group).Here }
 
 // carrierOrder returns the carriers in the order in which a statement is passed to
-// them. One that needs the primary goes to the primary's data centre, so that it
-// crosses to another only once, and so that what waits for the primary waits at few instances.
+// them. One that needs the primary goes to the primary's data centre, or else its region, so
+// that it crosses to another only once, and so that what waits for the primary waits at few
+// instances. Others stay in the caller's data centre, or else its region.
 //
 // Of those in one data centre each client account has its own first, since the connections
 // that they hold belong to accounts: a carrier finds one open the more often, the
@@ -68,7 +69,7 @@
 	if authority, err := r.Gate(group).Authority(); err == nil && needsPrimary {
 		preferred = r.snapshot().Members[authority.Primary].DataCentre
 	}
-	return placement.Order(c.Others, candidate, placement.Caller{Name: cmp.Or(account, r.self), DataCentre: r.near}, preferred)
+	return placement.Order(c.Others, candidate, placement.Caller{Name: cmp.Or(account, r.self), DataCentre: r.near}, preferred, r.places)
 }
 
 // StartCarrying lets this instance run statements for others. Before that it has not
--- a/internal/relay/placements.go
+++ b/internal/relay/placements.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/ownership"
 	"github.com/stackspindle/stackspindle/internal/placement"
 )
@@ -13,6 +14,7 @@
 // changes. It belongs to one goroutine; what it returns may be read by all.
 type Placements struct {
 	self       lead.Instance
+	places     locality.Map
 	table      *placement.Table
 	groups     []placement.Group
 	alive      []lead.Instance
@@ -21,13 +23,16 @@
 }
 
 // NewPlacements returns the placements of an instance, of which none is known.
-func NewPlacements(self lead.Instance) *Placements {
-	return &Placements{self: self, table: placement.NewTable()}
+func NewPlacements(self lead.Instance, places locality.Map) *Placements {
+	return &Placements{self: self, places: places, table: placement.NewTable()}
 }
 
 // Placed returns the carriers by group, nil while none are known. It must not be changed.
 func (p *Placements) Placed() map[string]Carriers { return p.placed }
 
+// Alive returns the instances among which the carriers were chosen. It must not be changed.
+func (p *Placements) Alive() []lead.Instance { return p.alive }
+
 // Update takes in the groups, the instances whose lease holds, and how many may use
 // connections; where all of them can, this instance does whether its lease holds or not. It
 // reports whether the carriers have changed.
@@ -37,14 +42,14 @@
 		return false
 	}
 	byName := make(map[string]lead.Instance, len(alive))
-	candidates := make([]ownership.Instance, 0, len(alive))
+	fleet := placement.Fleet{Alive: make([]ownership.Instance, 0, len(alive)), Registered: registered, Places: p.places}
 	for _, i := range alive {
 		byName[i.Name] = i
-		candidates = append(candidates, candidate(i))
+		fleet.Alive = append(fleet.Alive, candidate(i))
 	}
 	placed := make(map[string]Carriers, len(groups))
 	maps.Copy(placed, p.placed)
-	p.table.Update(groups, candidates, registered, func(group string, c placement.Carriers) {
+	p.table.Update(groups, fleet, func(group string, c placement.Carriers) {
 		placed[group] = seenBy(p.self, c, byName)
 	}, func(group string) { delete(placed, group) })
 	if moved {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/logs"
 	"github.com/stackspindle/stackspindle/internal/peerconn"
 	"github.com/stackspindle/stackspindle/internal/statement"
@@ -20,6 +22,7 @@
 	started   time.Time
 	self      string // the instance's name
 	near      string // its data centre
+	places    locality.Map
 	topology  func() *topology.Snapshot
 	current   func() bool // the store was heard of lately enough to know what does not exist
 	upstreams *Upstreams
@@ -31,6 +34,7 @@
 
 	carriers     atomic.Pointer[map[string]Carriers] // by group
 	carrierConns *carrierConns
+	outlook      outlook     // on the waits at the carriers
 	carrying     atomic.Bool // statements of other instances may be run here
 
 	mu    sync.Mutex // guards gates and named
@@ -42,6 +46,7 @@
 type Config struct {
 	Started  time.Time     // from which the relay's times count, on the steady clock
 	Self     lead.Instance // this instance
+	Places   locality.Map  // how far data centres lie from one another
 	Topology func() *topology.Snapshot
 	// Current reports whether the topology was confirmed lately enough that what it does
 	// not hold does not exist.
@@ -56,7 +61,7 @@
 // New returns a relay.
 func New(cfg Config) *Relay {
 	r := &Relay{
-		started: cfg.Started, self: cfg.Self.Name, near: cfg.Self.DataCentre, topology: cfg.Topology, current: cfg.Current,
+		started: cfg.Started, self: cfg.Self.Name, near: cfg.Self.DataCentre, places: cfg.Places, topology: cfg.Topology, current: cfg.Current,
 		limiter: cfg.Limiter, upstreams: cfg.Upstreams, log: cfg.Log, set: cfg.Metrics,
 		gates: make(map[string]*lead.Gate),
 	}
@@ -137,6 +142,27 @@
 	}
 }
 
+// noteRefusal counts and logs that a statement was refused, with what was known: whether
+// that was at once, for what reason, and what was predicted.
+func (r *Relay) noteRefusal(a *attempt, comeBack time.Duration) {
+	held, reason := r.now()-a.arrived, "held"
+	if a.decided && !a.verdict.Admit {
+		reason = a.verdict.Reason.String()
+	}
+	r.countRefusal(reason, a.level())
+	if leftOut, ok := r.sampler.Allow("refusal" + reason + a.route.Group); ok {
+		r.log.WithFields(logrus.Fields{
+			"request": a.st.ID, "group": a.route.Group, "member": a.lastMember, "priority": a.route.Priority, "reason": reason,
+			"held_ms": held.Milliseconds(), "predicted_ms": a.verdict.Predicted.Milliseconds(), "wait_ms": a.verdict.Wait.Milliseconds(),
+			"objective_ms": a.route.LatencyObjective.Milliseconds(), "come_back_ms": comeBack.Milliseconds(), "offered": a.offered, "why": a.why, "left_out": leftOut,
+		}).Info("relay: a statement was refused")
+	}
+}
+
+func (r *Relay) countRefusal(reason string, level int) {
+	r.set.GetOrCreateCounter(`stackspindle_refusals_total{reason="` + reason + `",priority="` + strconv.Itoa(level) + `"}`).Inc()
+}
+
 // consistencyNames name the kinds of routes in logs and metrics.
 var consistencyNames = map[topology.Consistency]string{
 	topology.Strict: "strict", topology.BoundedStaleness: "bounded", topology.ReadYourWrites: "own_writes",
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -144,6 +144,8 @@
 		return statement.Failure(s.state, statement.Unprepared, "no statement %q was prepared in this session", st.Name)
 	}
 	tx, deadline := s.tx, s.relay.wall(arrived+s.tx.route.Timeout)
+	tx.held.lease.Resume()
+	defer tx.held.lease.Park() // without effect when the transaction has ended
 	for {
 		if err := tx.held.lease.Conn.Prepare(s.values, needed); err != nil {
 			return s.loseTx(st, err, false)
@@ -180,7 +182,7 @@
 	if answer.State != statement.Idle {
 		return s.settleRead(st, answer)
 	}
-	valid := st.Kind != statement.Commit || !tx.wrote || s.relay.stands(tx.group, tx.pass)
+	valid := st.Kind != statement.Commit || !tx.wrote || s.relay.stands(tx.group, tx.pass, false)
 	s.endTx()
 	if st.Kind != statement.Commit || answer.Err != nil {
 		return answer
@@ -198,7 +200,7 @@
 // from a primary whose grant is not confirmed is verified first.
 func (s *session) settleRead(st statement.Statement, answer statement.Answer) statement.Answer {
 	tx := s.tx
-	if tx.pass == nil || answer.Err != nil || !s.reads(st) || s.relay.stands(tx.group, tx.pass) {
+	if tx.pass == nil || answer.Err != nil || !s.reads(st) || s.relay.stands(tx.group, tx.pass, true) {
 		return answer
 	}
 	s.endTx()
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -8,9 +8,12 @@
 	"syscall"
 	"time"
 
+	"github.com/stackspindle/stackspindle/internal/admission"
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/outlier"
 	"github.com/stackspindle/stackspindle/internal/pacing"
 	"github.com/stackspindle/stackspindle/internal/routing"
 )
@@ -25,15 +28,23 @@
 
 	mu       sync.Mutex // guards the rest
 	draining bool
-	carried  bool // this instance is a carrier of the group, or none is known
+	distance locality.Distance // from this instance
+	answered uint64            // in all
+	carried  bool              // this instance is a carrier of the group, or none is known
 	health   member.Health
+	failing  outlier.Failing
+	turns    outlier.Turns  // of the choices in which the member takes part
 	position group.Position // end of its log, as its answers told
 	behind   time.Duration  // how long ago the primary was there; negative: not known
+	behindAt time.Duration  // when that was told
+	growing  bool           // that has become more since the answer before
 	lagUntil time.Duration  // before which a read that it could not serve is not tried again
 	lagged   int            // reads in a row that it could not serve
 	lagSince time.Duration  // when the first of them was
 	recent   tally
 	window   pacing.Window
+	levels   [admission.Works][lowestPriority + 1]admission.Level
+	probing  bool // a statement is on its way that will show whether the member is there
 }
 
 // tally is what came of the attempts at a member since the last report.
@@ -50,6 +61,8 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Answered(now)
+	up.failing.Answered()
+	up.answered++
 	up.recent.answered++
 	up.recent.took += now - asked
 	up.recent.longest = max(up.recent.longest, now-asked)
@@ -62,9 +75,18 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.health.Missed(now)
+	up.failing.Failed()
 	up.recent.unheard++
 }
 
+// takesPart reports whether the member takes part in the next choice, which it does in a share
+// of them.
+func (up *upstream) takesPart(share float64) bool {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.turns.Next(share)
+}
+
 // isCarried reports whether this instance is to hold connections to the member.
 func (up *upstream) isCarried() bool {
 	up.mu.Lock()
@@ -84,7 +106,8 @@
 func (up *upstream) noteProgress(behind time.Duration, lagging bool, now time.Duration) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	up.behind = behind
+	up.growing = behind > up.behind
+	up.behind, up.behindAt = behind, now
 	if !lagging {
 		up.lagged = 0
 		return
@@ -112,11 +135,15 @@
 	defer up.mu.Unlock()
 	return routing.Candidate{
 		ID:       up.id,
+		Distance: up.distance,
 		Draining: up.draining,
 		Usable:   up.health.Usable(now),
 		Refused:  now < up.lagUntil,
 		Position: up.position,
 		Behind:   up.behind,
+		Seen:     now - up.behindAt,
+		Failing:  up.failing.Part(),
+		Growing:  up.growing,
 		Load:     up.pool.Load(),
 	}
 }
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -16,6 +16,7 @@
 
 	"github.com/stackspindle/stackspindle/internal/connpool"
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/pacing"
 	"github.com/stackspindle/stackspindle/internal/pool"
@@ -30,13 +31,15 @@
 	dialTimeout     = 400 * time.Millisecond // the handshake may wait behind a full queue of the member
 	minDialBackoff  = 50 * time.Millisecond  // refused connections are priced like served ones
 	maxDialBackoff  = 400 * time.Millisecond
-	maxQueue        = 64 // requests of one route that wait for a connection of one member
+	maxQueue        = 64 // requests of one account and priority that wait for a connection of one member
 
-	// unusedFor is after what time a connection that nobody has used is closed, but
-	// for one. So a member keeps room for the connections of instances that have
-	// just started, while those of dead ones take up to 3 s to go.
+	// unusedFor is after what time a connection that nobody has used is closed, but for the
+	// part that an instance keeps of those that it may use, at least one. A connection serves its
+	// account only: the longer it stays, the more often the account finds it. The rest is closed
+	// so that a member has room for instances that have just started, while the
+	// connections of dead ones take their time to go.
 	unusedFor = 600 * time.Millisecond
-	keepOpen  = 1
+	keepPart  = 2 // one in so many
 	// ShrinkInterval is the pause between two looks for such.
 	ShrinkInterval = unusedFor / 3
 	// patience is how long a request waits for a connection in use before another
@@ -48,6 +51,7 @@
 type Upstreams struct {
 	dialer member.Dialer
 	now    func() time.Duration
+	places locality.Map
 
 	mu      sync.Mutex // guards the maps
 	members map[string]*upstream
@@ -64,8 +68,8 @@
 	}
 }
 
-// Update takes in the members as they are now, and how much of each an instance in a
-// data centre may use.
+// Update takes in the members as they are now, how much of each an instance in a
+// data centre may use, and how far they are from it.
 func (u *Upstreams) Update(snap *topology.Snapshot, placed map[string]Carriers, dataCentre string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -88,6 +92,7 @@
 		carriers, known := placed[m.Group]
 		up.mu.Lock()
 		up.draining, up.carried = m.Draining, carriers.Here || !known
+		up.distance = u.places.Distance(m.DataCentre, dataCentre)
 		up.mu.Unlock()
 	}
 }
@@ -136,6 +141,9 @@
 	return g
 }
 
+// Locate tells how far data centres lie from one another. It is called before the first Update.
+func (u *Upstreams) Locate(places locality.Map) { u.places = places }
+
 // Doubtful reports whether a member has left an attempt unanswered since its last
 // answer.
 func (u *Upstreams) Doubtful(id string) bool {
@@ -208,17 +216,19 @@
 	defer u.mu.Unlock()
 	for id, up := range u.members {
 		up.mu.Lock()
-		recent, behind, share := up.recent, up.behind, up.window.Share()
+		recent, behind, share, distance, failing := up.recent, up.behind, up.window.Share(), up.distance, up.failing.Part()
 		up.recent = tally{}
 		up.mu.Unlock()
 		if recent == (tally{}) {
 			continue
 		}
+		waits := newWaits(up.pool.Waits())
 		log.WithFields(logrus.Fields{
-			"group": up.group, "member": id, "answered": recent.answered, "lagging": recent.lagging,
+			"waiting_by_priority": waits.numbers(waitingNow), "overtook": waits.numbers(overtook), "overdue": waits.numbers(overdue),
+			"group": up.group, "member": id, "distance": distance.String(), "answered": recent.answered, "lagging": recent.lagging,
 			"unheard": recent.unheard, "mean_ms": (recent.took / time.Duration(max(1, recent.answered))).Milliseconds(),
 			"longest_ms": recent.longest.Milliseconds(), "behind_ms": behind.Milliseconds(),
-			"share": math.Round(100*share) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
+			"share": math.Round(100*share) / 100, "failing": math.Round(100*failing) / 100, "connections": up.pool.Open(), "in_use": up.pool.InUse(), "waiting": up.pool.Waiting(),
 		}).Info("relay: a member since the last report")
 	}
 }
@@ -228,10 +238,15 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, up := range u.members {
+		up.mu.Lock()
+		distance, answered := up.distance, up.answered
+		up.mu.Unlock()
 		labels := `{group="` + up.group + `",member="` + id + `"}`
+		metrics.WriteCounterUint64(w, `stackspindle_member_answers_total{group="`+up.group+`",member="`+id+`",distance="`+distance.String()+`"}`, answered)
 		metrics.WriteGaugeUint64(w, "stackspindle_member_connections"+labels, uint64(up.pool.Open()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_in_use"+labels, uint64(up.pool.InUse()))
 		metrics.WriteGaugeUint64(w, "stackspindle_member_waiting"+labels, uint64(up.pool.Waiting()))
+		newWaits(up.pool.Waits()).write(w, up.group, id)
 	}
 }
 
@@ -242,7 +257,7 @@
 	defer u.mu.Unlock()
 	for _, up := range u.members {
 		if up.isCarried() {
-			up.pool.Shrink(unusedFor, keepOpen)
+			up.pool.Shrink(unusedFor, max(1, up.pool.Capacity()/keepPart))
 		} else {
 			up.pool.DropIdle()
 		}
