--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -118,7 +118,8 @@
 	heardAt        atomic.Int64 // when the last store call was sent, by whomever, that confirmed the grants
 	inForce        atomic.Int64 // revision of the store whose contents are in force here
 	registeredOnce atomic.Bool
-	settlement     settlement // of the registration
+	registeredAt   atomic.Int64 // when this process was first seen to be registered; meaningful once it was
+	settlement     settlement   // of the registration
 	stopping       atomic.Bool
 
 	mirror     *feed.Mirror  // what is known of the store, for this instance and those that follow it
@@ -146,8 +147,8 @@
 
 	watchFailed bool // the last watch got no answer; of the follower
 
-	shared sharing                   // what the placement rests on; of the control goroutine
-	placed map[string]relay.Carriers // by group, nil: not known yet; the same
+	placements     *relay.Placements // of the control goroutine
+	changedMembers []topology.Member // by the change that is taken in; the same
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -183,6 +184,7 @@
 	i.traffic = peerconn.NewTraffic(i.set, i.distanceTo)
 	i.conns.Count(i.traffic)
 	i.upstreams = relay.NewUpstreams(platform.Dialer, i.now)
+	i.placements = relay.NewPlacements(i.self, settings.Places)
 	i.upstreams.Locate(settings.Places)
 	i.limiter = limits.New(limits.Config{
 		Self: i.self, Rules: settings.Limits, Accounts: i.accounts, Conns: i.conns,
--- a/internal/fleet/placed.go
+++ b/internal/fleet/placed.go
@@ -13,7 +13,8 @@
 // reportPlacement logs the carriers of groups that have others than before. The first carrier
 // of a group does it for all.
 func (i *Instance) reportPlacement(before map[string]relay.Carriers) {
-	for group, c := range i.placed {
+	alive := i.placements.Alive()
+	for group, c := range i.placements.Placed() {
 		if rank, carries := c.Rank(i.self.Name); !carries || rank > 0 || slices.Equal(before[group].Names, c.Names) {
 			continue
 		}
@@ -22,7 +23,7 @@
 			continue
 		}
 		i.part("relay").WithFields(logrus.Fields{
-			"group": group, "carriers": describe(c.Names, i.shared.alive), "alive": len(i.shared.alive), "left_out": leftOut,
+			"group": group, "carriers": describe(c.Names, alive), "alive": len(alive), "left_out": leftOut,
 		}).Info("relay: a group has other carriers")
 	}
 }
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/stackspindle/stackspindle/internal/lead"
-	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/ownership"
 	"github.com/stackspindle/stackspindle/internal/placement"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -33,30 +32,6 @@
 	return groups
 }
 
-// Place returns the carriers of each group, as one instance sees them. registered is
-// how many may use connections; where all of them can, this instance does whether its
-// lease holds or not.
-func Place(groups []placement.Group, self lead.Instance, alive []lead.Instance, registered int, places locality.Map) map[string]Carriers {
-	placed := make(map[string]Carriers, len(groups))
-	byName := make(map[string]lead.Instance, len(alive))
-	fleet := placement.Fleet{Alive: make([]ownership.Instance, 0, len(alive)), Registered: registered, Places: places}
-	for _, i := range alive {
-		byName[i.Name] = i
-		fleet.Alive = append(fleet.Alive, candidate(i))
-	}
-	for group, chosen := range placement.Place(groups, fleet) {
-		c := Carriers{Carriers: chosen}
-		c.Here = c.Includes(self.Name)
-		for _, name := range c.Names {
-			if name != self.Name {
-				c.Others = append(c.Others, byName[name])
-			}
-		}
-		placed[group] = c
-	}
-	return placed
-}
-
 func candidate(i lead.Instance) ownership.Instance {
 	return ownership.Instance{Name: i.Name, DataCentre: i.DataCentre, Weight: i.Strength.Carrying()}
 }
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -68,7 +68,9 @@
 
 // placedFor returns the placement before a number of registered instances.
 func placedFor(snap *topology.Snapshot, registered int) map[string]Carriers {
-	return Place(Groups(snap), lead.Instance{}, nil, registered, locality.Map{})
+	placements := NewPlacements(lead.Instance{}, locality.Map{})
+	placements.Update(Groups(snap), nil, registered)
+	return placements.Placed()
 }
 
 // run has a session answer a statement that arrives now.
