--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -122,6 +122,10 @@
 		left[c.DataCentre]--
 		taken[c.Name] = true
 	}
+	if p.bounds == nil && !anyLeft(left) {
+		rest := slices.DeleteFunc(slices.Clone(p.fleet.Alive), func(i ownership.Instance) bool { return taken[i.Name] })
+		return p.first(g, rest, missing) // no region lacks carriers, as while no member is known
+	}
 	var others []ranked
 	for _, i := range p.fleet.Alive {
 		if !taken[i.Name] {
@@ -138,6 +142,16 @@
 	return others[:min(missing, len(others))]
 }
 
+// anyLeft reports whether a data centre has places that are not taken.
+func anyLeft(places map[string]int) bool {
+	for _, left := range places {
+		if left > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // needed returns which instances make up for a place that is left in their region, one for
 // each such place.
 func (p *placer) needed(others []ranked, left map[string]int) map[string]bool {
