Limits: what is known on one side of a cut, or late, decides less

A refusal tells an entry something only where all holders had none; a late holder is late for the one question, not for all accounts; it is awaited further only while nobody has answered; what counts as late follows from how long answers usually take.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -25,9 +25,16 @@
 	// askTimeout bounds a question for tokens. A machine whose share of the processor is
 	// spent stands still for as long.
 	askTimeout = 100 * time.Millisecond
-	// askPatience is after what time the next holder is asked beside one that has not
-	// answered: longer than the way to another region and back.
-	askPatience = 30 * time.Millisecond
+	// lateTimes is how many times its usual time an answer may take before the next holder is
+	// asked beside, within minLate, which a busy machine takes, and maxLate.
+	lateTimes = 3
+	minLate   = 8 * time.Millisecond
+	maxLate   = 25 * time.Millisecond
+	// unansweredPause is after what time an operation is to come back that waited in vain for
+	// an answer: a few questions may have got through by then.
+	unansweredPause = 250 * time.Millisecond
+	// usualSpan is the number of answers over which their usual time is averaged.
+	usualSpan = 16
 	// countedAccounts bounds the accounts that have counters of their own; further ones
 	// share one.
 	countedAccounts = 512
@@ -55,6 +62,7 @@
 	addresses  map[string]string        // of the instances that are alive
 	questions  map[string]chan struct{} // under way, by account; closed at their end
 	waiting    map[string]int           // operations that wait for a token, by account
+	usual      time.Duration            // of answers; 0: not known
 	door       *quota.Door
 }
 
@@ -144,10 +152,10 @@
 		case <-asked:
 		case <-deadline:
 			l.giveUp(name)
-			return quota.Token{}, quota.Shortage{ComeBack: askTimeout}, false
+			return quota.Token{}, quota.Shortage{ComeBack: unansweredPause}, false
 		case <-ctx.Done():
 			l.giveUp(name)
-			return quota.Token{}, quota.Shortage{ComeBack: askTimeout}, false
+			return quota.Token{}, quota.Shortage{ComeBack: unansweredPause}, false
 		}
 	}
 }
@@ -183,8 +191,8 @@
 		}
 		decision = l.meter.Take(l.now(), name)
 	}
-	if under := l.questions[name]; under != nil && decision.Verdict == quota.Refuse && decision.Shortage.Silent > 0 {
-		decision.Verdict = quota.Ask // a holder that is late may still have some
+	if under := l.questions[name]; under != nil && decision.Verdict == quota.Refuse && decision.Shortage.Without == 0 {
+		decision.Verdict = quota.Ask // no holder has said anything yet
 		l.waiting[name]++
 		return decision, under
 	}
@@ -219,6 +227,7 @@
 	answers chan struct{} // has an item for each holder that has answered, or failed to
 	ended   chan struct{} // closed at the end
 	awaited int           // holders that have not answered
+	late    []string      // those that were asked, and have been passed over since
 }
 
 // ask asks a holder for tokens, and then others as long as there are too few. One that is
@@ -226,15 +235,12 @@
 func (l *Limiter) ask(name, holder string, wanted int, done chan struct{}) {
 	q := &question{limiter: l, account: name, answers: make(chan struct{}), ended: make(chan struct{})}
 	defer close(q.ended)
-	for holder != "" || q.awaited > 0 {
+	for open := false; holder != "" || open && q.awaited > 0; {
 		if holder != "" {
 			q.put(holder, wanted)
 		}
 		q.await(holder)
-		var served bool
-		if holder, wanted, served = l.next(name); served {
-			break
-		}
+		holder, wanted, open = l.next(name, q.late)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -258,22 +264,20 @@
 }
 
 // await waits for an answer of any holder, and for one that was asked just now no longer
-// than askPatience.
+// than is usual.
 func (q *question) await(asked string) {
 	if asked == "" {
 		<-q.answers
 		q.awaited--
 		return
 	}
-	late := time.NewTimer(askPatience)
+	late := time.NewTimer(q.limiter.lateAfter())
 	defer late.Stop()
 	select {
 	case <-q.answers:
 		q.awaited--
 	case <-late.C:
-		q.limiter.mu.Lock()
-		defer q.limiter.mu.Unlock()
-		q.limiter.meter.Late(q.limiter.now(), asked)
+		q.late = append(q.late, asked)
 	}
 }
 
@@ -286,17 +290,30 @@
 		l.log.WithError(err).WithFields(logrus.Fields{"account": name, "holder": holder}).Debug("limits: a holder did not answer")
 		return
 	}
+	took := l.now() - sent
+	if l.usual == 0 {
+		l.usual = took
+	}
+	l.usual += (took - l.usual) / usualSpan
 	l.meter.Granted(sent, l.now(), name, holder, g)
 }
 
-// next returns the holder to ask next, or that all operations which wait can go on.
-func (l *Limiter) next(name string) (holder string, wanted int, served bool) {
+// lateAfter returns after what time a holder that has not answered is late.
+func (l *Limiter) lateAfter() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(max(lateTimes*l.usual, minLate), maxLate)
+}
+
+// next returns the holder to ask next; without one, open reports whether those that are
+// late are to be awaited.
+func (l *Limiter) next(name string, late []string) (holder string, wanted int, open bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for {
-		holder, wanted = l.meter.Next(l.now(), name, l.waiting[name])
+		holder, wanted, open = l.meter.Next(l.now(), name, l.waiting[name], late)
 		if holder != l.self {
-			return holder, wanted, holder == "" && l.meter.Has(l.now(), name)
+			return holder, wanted, open
 		}
 		l.meter.Granted(l.now(), l.now(), name, holder, l.reserve(name, wanted))
 	}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -214,3 +214,32 @@
 	must.False(t, ok)
 	must.Positive(t, shortage.ComeBack)
 }
+
+// An account at its limit, one of whose holders does not answer: once the others have said
+// that they have no token, operations are refused and not held for the one that is late.
+func TestLateHolderHoldsNobodyAtTheLimit(t *testing.T) {
+	f := newFleet(t, 7, account.Limit{Rate: 10, Burst: 10})
+	var asker *Limiter
+	for _, l := range f.limiters {
+		if !slices.Contains(l.holders.Of("a"), l.self) {
+			asker = l
+		}
+	}
+	asker.timeout = time.Hour
+	f.mute(t, f.holdersBut("a", "")[0])
+	var refused int
+	var work sync.WaitGroup
+	for range 20 {
+		work.Go(func() {
+			for range 20 {
+				if _, _, ok := asker.Spend(t.Context(), "a", time.Hour); !ok {
+					asker.mu.Lock()
+					refused++
+					asker.mu.Unlock()
+				}
+			}
+		})
+	}
+	work.Wait()
+	must.Positive(t, refused)
+}
--- a/internal/quota/door.go
+++ b/internal/quota/door.go
@@ -89,7 +89,9 @@
 
 // Refused takes in that an operation which was passed on at a time was refused, since the
 // account has no tokens for a while, and returns after what time its caller is to come
-// back. What cannot be is ignored, and answered with 0.
+// back. What cannot be is ignored, and answered with 0. How long the account is refused
+// follows from its limit: the time that was told is one that others wait for as well, and an
+// account a little above its limit has tokens sooner.
 func (d *Door) Refused(sent, now time.Duration, v Visit, empty time.Duration) time.Duration {
 	if empty <= 0 || empty > maxLife || v.Limit.Unlimited {
 		return 0
@@ -107,7 +109,7 @@
 	default:
 		s.interval *= 2
 	}
-	s.interval = min(max(s.interval, empty), maxShut)
+	s.interval = min(s.interval, maxShut)
 	s.open, s.told, s.until, s.passed = false, now, now+s.interval, 0
 	return s.promise(now, v)
 }
--- a/internal/quota/door_test.go
+++ b/internal/quota/door_test.go
@@ -12,7 +12,7 @@
 )
 
 func visit(name string) Visit {
-	return Visit{Account: name, Limit: account.Limit{Rate: 20, Burst: 20}, Horizon: time.Minute}
+	return Visit{Account: name, Limit: account.Limit{Rate: 10, Burst: 10}, Horizon: time.Minute}
 }
 
 func admitted(d *Door, now time.Duration, v Visit) bool {
@@ -167,23 +167,27 @@
 			ran++
 			door.Ran(now, v)
 		} else {
-			door.Refused(now, now, v, seconds((1-tokens)/rate))
+			door.Refused(now, now, v, max(emptyPause, seconds((1-tokens)/rate)))
 		}
 	}
 	return ran, passed
 }
 
-// An account that asks for ten times its limit at many entries gets its limit, and what is
-// passed on in vain is bounded by the entries, not by what it asks for.
+// An account that asks for a little more than its limit, or for ten times as much, at many
+// entries gets its limit, and what is passed on in vain is bounded by the entries, not by
+// what it asks for.
 func TestDoorsTogetherGiveTheLimit(t *testing.T) {
 	const length = 20 * time.Second
 	for _, entries := range []int{1, 8, 80} {
 		for _, rate := range []float64{3, 20, 100} {
-			pause := seconds(float64(entries) / (10 * rate))
-			ran, passed := fleetDoors(entries, rate, pause, length)
-			must.GreaterEq(t, 0.9*rate*length.Seconds(), float64(ran), must.Sprintf("entries %d, rate %v: %d ran", entries, rate, ran))
-			most := 4*rate*length.Seconds() + 2*float64(entries)*length.Seconds()
-			must.LessEq(t, most, float64(passed), must.Sprintf("entries %d, rate %v: %d passed on", entries, rate, passed))
+			for _, demand := range []float64{1.1, 1.5, 10} {
+				pause := seconds(float64(entries) / (demand * rate))
+				ran, passed := fleetDoors(entries, rate, pause, length)
+				at := must.Sprintf("entries %d, rate %v, demand %v: %d ran, %d passed on", entries, rate, demand, ran, passed)
+				must.GreaterEq(t, 0.95*rate*length.Seconds(), float64(ran), at)
+				most := 4*rate*length.Seconds() + 2*float64(entries)*length.Seconds()
+				must.LessEq(t, most, float64(passed), at)
+			}
 		}
 	}
 }
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -115,8 +115,9 @@
 	Gone     int           // that are not alive
 }
 
-// Empty reports whether all holders that are alive said that they have no token.
-func (s Shortage) Empty() bool { return s.Without > 0 && s.Silent == 0 }
+// Empty reports whether all holders said that they have no token. On one side of a cut
+// nobody knows that: instances on the other side may reach those that are missed here.
+func (s Shortage) Empty() bool { return s.Without > 0 && s.Silent == 0 && s.Gone == 0 }
 
 // Take uses a token of an account for an operation.
 func (m *Meter) Take(now time.Duration, name string) Decision {
@@ -148,25 +149,21 @@
 }
 
 // Next returns the holder to ask for tokens while some operations wait for one, and how
-// many: none when they can go on, or nobody may have any.
-func (m *Meter) Next(now time.Duration, name string, waiting int) (string, int) {
+// many, but for those that have been asked and are late. Without a holder, open reports
+// whether the late ones are to be awaited: when operations wait and no holder has said that
+// it has none.
+func (m *Meter) Next(now time.Duration, name string, waiting int, late []string) (holder string, wanted int, open bool) {
 	s := m.stock(name)
 	s.expire(now)
-	if waiting == 0 {
-		return m.Ahead(now, name)
-	}
-	if s.left() > 0 {
-		return "", 0
+	switch {
+	case waiting == 0 && len(late) == 0:
+		holder, wanted = m.Ahead(now, name)
+		return holder, wanted, false
+	case waiting == 0 || s.left() > 0:
+		return "", 0, false
 	}
-	holder, _ := m.ask(now, name, s)
-	return holder, waiting + s.target()
-}
-
-// Has reports whether there is a token of an account.
-func (m *Meter) Has(now time.Duration, name string) bool {
-	s := m.stock(name)
-	s.expire(now)
-	return s.left() > 0
+	holder, shortage := m.ask(now, name, s, late...)
+	return holder, waiting + s.target(), shortage.Without == 0
 }
 
 // Granted takes in a holder's answer to a question that was sent at a time.
@@ -204,12 +201,6 @@
 // maxDoublings keeps the pause after a silence in range.
 const maxDoublings = 10
 
-// Late notes that a holder has not answered yet, so that others are asked meanwhile.
-func (m *Meter) Late(now time.Duration, holder string) {
-	known := m.away[holder]
-	m.away[holder] = silence{until: max(known.until, now+firstPause), times: known.times}
-}
-
 func (m *Meter) stock(name string) *stock {
 	s := m.accounts[name]
 	if s == nil {
@@ -222,7 +213,7 @@
 // ask returns the holder to ask for tokens of an account: this instance itself, then
 // near ones, each instance another one first. Without one that may have some it
 // returns after what time one may.
-func (m *Meter) ask(now time.Duration, name string, s *stock) (string, Shortage) {
+func (m *Meter) ask(now time.Duration, name string, s *stock, late ...string) (string, Shortage) {
 	best, rank, shortage := "", 0, Shortage{ComeBack: awayPause}
 	var score uint64
 	for _, holder := range m.holders.Of(name) {
@@ -239,6 +230,9 @@
 			shortage.Without++
 			shortage.ComeBack = min(shortage.ComeBack, without)
 			continue
+		case slices.Contains(late, holder):
+			shortage.Silent++
+			continue
 		}
 		r, sc := m.distance(holder, centre), ownership.Score(m.self, holder)
 		if best == "" || r < rank || r == rank && sc > score {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -64,7 +64,8 @@
 }
 
 // tokenShare is the part of its objective for which a statement may wait for the right to
-// run: as long as a caller that is refused then can still be served in time elsewhere.
+// run, while nobody has said that there is none: as long as a caller that is refused then
+// can still be served in time elsewhere.
 const tokenShare = 0.25
 
 // spend uses the account's right to one operation, or returns the refusal.
--- a/internal/relay/entry_test.go
+++ b/internal/relay/entry_test.go
@@ -98,7 +98,7 @@
 // on asking it; so it does where the carrier tells what cannot be.
 func TestEntryPassesOnWhereNothingIsKnown(t *testing.T) {
 	for _, shortage := range []quota.Shortage{
-		{ComeBack: time.Second, Silent: 1}, {ComeBack: time.Second, Silent: 1, Without: 5}, {ComeBack: time.Second, Gone: 6},
+		{ComeBack: time.Second, Silent: 1}, {ComeBack: time.Second, Silent: 1, Without: 5}, {ComeBack: time.Second, Gone: 6}, {ComeBack: time.Second, Without: 2, Gone: 4},
 		{ComeBack: -time.Second, Without: 1}, {ComeBack: time.Hour, Without: 1},
 	} {
 		b := newBench(t)
