--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -44,14 +44,11 @@
 		sent := s.relay.now()
 		reply, err := stream.ask(ctx, s.carryRequest(st, arrived), left+carryMargin)
 		switch {
-		case errors.Is(err, errCallerLeft):
-			s.relay.noteLeft(route.Database, "carried", s.relay.now()-arrived)
-			return statement.Failure(statement.Idle, statement.Unknown, "it may have run: %v", err)
 		case errors.Is(err, errNotTaken):
 			why = err.Error()
 			continue
 		case err != nil:
-			s.relay.logLost(s, st, carrier.Name, err)
+			s.noteNoAnswer(st, carrier.Name, arrived, err)
 			why = err.Error()
 			if s.reads(st) || st.Kind == statement.Begin {
 				continue // nothing can have changed
@@ -71,11 +68,7 @@
 	tx := s.remote
 	reply, err := tx.stream.ask(ctx, s.carryRequest(st, arrived), tx.route.Timeout+carryMargin)
 	if err != nil {
-		if errors.Is(err, errCallerLeft) {
-			s.relay.noteLeft(s.start.Database, "carried", s.relay.now()-arrived)
-		} else {
-			s.relay.logLost(s, st, tx.stream.address, err)
-		}
+		s.noteNoAnswer(st, tx.stream.address, arrived, err)
 		tx.stream.rest()
 		s.remote = nil
 		if st.Kind == statement.Commit && tx.wrote && !errors.Is(err, errNotTaken) {
@@ -86,6 +79,15 @@
 	return s.settleCarried(st, tx.stream, tx.route, reply)
 }
 
+// noteNoAnswer records that a carrier's answer did not arrive, or was not awaited.
+func (s *session) noteNoAnswer(st statement.Statement, carrier string, arrived time.Duration, cause error) {
+	if errors.Is(cause, errCallerLeft) {
+		s.relay.noteLeft(s.start.Database, "carried", s.relay.now()-arrived)
+		return
+	}
+	s.relay.logLost(s, st, carrier, cause)
+}
+
 // settleCarried takes in a carrier's reply. While a transaction is open the
 // session keeps the stream.
 func (s *session) settleCarried(st statement.Statement, stream *carrierStream, route topology.Route, reply *relaypb.CarryReply) statement.Answer {
