Mended after review: door, admission, pool, placement, streams, verification; a race of the PostgreSQL path

Review by others than the writers (each with a probe or by reading): - door: refusals of an instance's own carrying drove the door, which does not gate them; turns of returning callers an interval apart; a pace is forgotten after a while; a token wait has a floor; a caller with bytes left to be read is not taken for gone. - a read whose answer may not be passed on has run: its right is used, and stays so. - streams: what breaks a question off cannot come after its end, when the stream may serve another caller. - admission: one member that cannot be reached does not refuse what a full one would serve; silence is the time in which attempts got no answer, not that in which nobody asked; a busy account is not taken for an unreachable member; callers that left teach no waits. - connpool: a dial that times out backs off again. pool: a priority that still waits after a grant goes on asking; a request long gone makes nothing overdue.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,7 +83,7 @@
 
 // Strength is the capacity as other instances are told of it.
 func (c Capacity) Strength() placement.Strength {
-	return placement.Strength{Cores: c.CPUShare * c.CPUSpeed, LinkMbps: c.LinkMbps, MemoryMB: c.MemoryMB, Descriptors: c.Descriptors}
+	return placement.Strength{Cores: c.CPUShare * c.CPUSpeed, LinkMbps: c.LinkMbps, MemoryMB: float64(c.MemoryMB), Descriptors: float64(c.Descriptors)}
 }
 
 // Fleet are the settings of an instance on a platform that keeps the fleet's
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -369,7 +369,7 @@
 	}
 	left := r.Deadline - p.now()
 	if left <= 0 {
-		return ErrBackoff
+		return ErrDeadline
 	}
 	timer := time.NewTimer(min(wait, left))
 	defer timer.Stop()
@@ -393,7 +393,7 @@
 	conn, err := p.open(dialing, account)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err != nil && ctx.Err() != nil {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return conn, fmt.Errorf("connect: %w", ctx.Err()) // broken off here, which tells nothing of the member
 	}
 	if err != nil {
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -176,8 +176,9 @@
 		i.knownOnce.Do(func() { close(i.known) })
 	}
 	if view.IsAlive(i.self.Name, i.self.Incarnation) && !i.stopping.Load() {
-		if !i.registeredOnce.Swap(true) {
-			i.registeredAt.Store(int64(i.now()))
+		if !i.registeredOnce.Load() {
+			i.registeredAt.Store(int64(i.now())) // first, since others read it once the other is set
+			i.registeredOnce.Store(true)
 		}
 		i.relay.StartCarrying()
 		i.heardAt.Store(int64(c.Confirmed))
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -120,8 +120,9 @@
 	}
 }
 
-// do runs an event on the control goroutine and waits for it.
-func (i *Instance) do(ev event) {
+// do runs an event on the control goroutine and waits for it. It reports false when the
+// instance stops meanwhile: the event may not run, or be under way.
+func (i *Instance) do(ev event) bool {
 	done := make(chan struct{})
 	wrapped := func(c *control) {
 		defer close(done)
@@ -130,11 +131,13 @@
 	select {
 	case i.events <- wrapped:
 	case <-i.ctx.Done():
-		return
+		return false
 	}
 	select {
 	case <-done:
+		return true
 	case <-i.ctx.Done():
+		return false
 	}
 }
 
--- /dev/null
+++ b/internal/instance/do_test.go
@@ -0,0 +1,38 @@
+package instance
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// An instance that stops while an event is under way does not wait for it, and what the
+// event is writing is not read. Found by the race detector where a service came back with older data.
+func TestDoWhileTheInstanceStops(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	i := &Instance{ctx: ctx, events: make(chan event)}
+	begun, goOn, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		(<-i.events)(nil)
+	}()
+	go func() {
+		<-begun
+		stop()
+	}()
+	must.False(t, i.do(func(*control) {
+		close(begun)
+		<-goOn
+	}))
+	close(goOn)
+	<-ended
+}
+
+func TestDoWaitsForTheEvent(t *testing.T) {
+	i := &Instance{ctx: t.Context(), events: make(chan event)}
+	go func() { (<-i.events)(nil) }()
+	ran := false
+	must.True(t, i.do(func(*control) { ran = true }))
+	must.True(t, ran)
+}
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -111,7 +111,7 @@
 // is in force already.
 func (i *Instance) takeContent(content etcd.Content) error {
 	var failed error
-	i.do(func(c *control) {
+	ran := i.do(func(c *control) {
 		current := i.catalogue.Load().snapshot
 		next, err := current.Load(content.Revision, withVanished(current, content))
 		if err != nil {
@@ -122,6 +122,9 @@
 		c.oldNoted = false
 		c.setSnapshot(next)
 	})
+	if !ran {
+		return i.ctx.Err()
+	}
 	return failed
 }
 
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -277,7 +277,8 @@
 	_, leaderRevision := view.Leader(group)
 	began := c.now()
 	tried, due := g.tried.next(began, leaderRevision, revision)
-	if !due || !c.turns.begin(began) {
+	lease := c.around.Lease()
+	if lease == 0 || !due || !c.turns.begin(began) { // a key without a lease would outlive this instance
 		return
 	}
 	g.tried = tried
@@ -289,7 +290,7 @@
 	_, err := c.store.Commit(ctx, kv.Txn{
 		Expect: []kv.Expect{{Key: prefixLeader + group, Revision: leaderRevision}, {Key: prefixGroup + group, Revision: revision}},
 		Puts: []kv.Put{
-			{Key: prefixLeader + group, Value: encode(Leader{c.self.Name, c.self.Incarnation}), Lease: c.around.Lease()},
+			{Key: prefixLeader + group, Value: encode(Leader{c.self.Name, c.self.Incarnation}), Lease: lease},
 			{Key: prefixGroup + group, Value: encode(record)},
 		},
 	})
--- a/internal/lead/planned_test.go
+++ b/internal/lead/planned_test.go
@@ -1,11 +1,13 @@
 package lead
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/stackspindle/stackspindle/internal/account"
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/standin/memstore"
@@ -146,3 +148,60 @@
 	seen, _ = r.unreached()
 	must.Zero(t, seen, must.Sprint("one of them does not tell"))
 }
+
+// The old primary is told to step down only once there is a successor: here one instance was
+// not reached that does not tell what it has seen, and may not know of the other member.
+func TestChangeWithoutASuccessorLeavesThePrimary(t *testing.T) {
+	store := memstore.New()
+	leader, around := newController(t, "a", store.Client())
+	clock := time.Minute
+	leader.now = func() time.Duration { return clock }
+	g := led(t, leader, around, store)
+	gone(t, store, around, Instance{Name: "b", Incarnation: "1", Address: "127.0.0.1:1"})
+	around.view.missing["b"] = clock
+	for n := range around.snap.ByGroup["g"] {
+		around.snap.ByGroup["g"][n].Since, around.snap.ByGroup["g"][n].Revision = time.Hour, 7
+	}
+	record, revision := around.gate.Record()
+	change := Change{ID: "x", Planned: true}
+	record.Change = &change
+	_, err := leader.write(t.Context(), "g", g, record, revision)
+	must.NoError(t, err)
+	leader.own.now = func() time.Duration { return clock - time.Millisecond }
+	var ticks atomic.Int64
+	leader.now = func() time.Duration { return clock + time.Duration(ticks.Add(1))*100*time.Millisecond }
+	_, err = leader.carryOut(t.Context(), "g", g, change)
+	must.ErrorIs(t, err, errNoCandidate)
+	must.SliceEmpty(t, leader.promoter.(*membergroup.Group).Promotions())
+	conn, err := leader.dialer.Dial(t.Context(), around.snap.Members["m1"], account.Anonymous)
+	must.NoError(t, err)
+	defer conn.Close()
+	status, err := conn.Status(time.Now().Add(time.Minute))
+	must.NoError(t, err)
+	must.True(t, status.Primary, must.Sprint("it was told to step down"))
+}
+
+// An instance that stays silent puts a planned change off for a bounded time, and anew once
+// the change has not been considered for a while.
+func TestPuttingOffEnds(t *testing.T) {
+	store := memstore.New()
+	leader, around := newController(t, "a", store.Client())
+	clock := time.Minute
+	leader.now = func() time.Duration { return clock }
+	g := led(t, leader, around, store)
+	_, err := store.Client().Commit(t.Context(), around.view.Registration(Instance{Name: "b", Incarnation: "1", Address: "127.0.0.1:1"}, around.lease))
+	must.NoError(t, err)
+	around.refresh(t, store.Client())
+	around.view.joined["b"] = 0
+	due := func() bool { return leader.plannedIsDue(t.Context(), g, leader.log) }
+	must.False(t, due())
+	clock += plannedPause
+	must.False(t, due())
+	clock += silentPatience - plannedPause
+	must.True(t, due(), must.Sprint("it has been silent for long enough"))
+	must.False(t, due(), must.Sprint("looked at too soon"))
+	clock += time.Minute
+	must.False(t, due(), must.Sprint("what was put off long ago does not count"))
+	clock += time.Minute
+	must.False(t, due(), must.Sprint("nor does this"))
+}
--- a/internal/member/health.go
+++ b/internal/member/health.go
@@ -14,7 +14,8 @@
 type Health struct {
 	lastAnswer time.Duration // when a complete answer last arrived
 	answered   bool
-	failures   int // attempts in a row that got no answer
+	failures   int           // attempts in a row that got no answer
+	missedAt   time.Duration // when the first of them did not
 	passUntil  time.Duration
 }
 
@@ -26,6 +27,9 @@
 
 // Missed notes an attempt that got no answer.
 func (h *Health) Missed(now time.Duration) {
+	if h.failures == 0 {
+		h.missedAt = now
+	}
 	h.passUntil = now + min(minPassOver<<min(h.failures, maxShift), maxPassOver)
 	h.failures++
 }
@@ -38,5 +42,14 @@
 	return now - h.lastAnswer, h.answered
 }
 
+// SilentFor returns for how long attempts have got no answer, 0 where the last one did.
+// Time in which nobody asked does not count.
+func (h *Health) SilentFor(now time.Duration) time.Duration {
+	if h.failures == 0 {
+		return 0
+	}
+	return now - h.missedAt
+}
+
 // Doubtful reports whether an attempt since the last answer got none.
 func (h *Health) Doubtful() bool { return h.failures > 0 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -39,19 +39,19 @@
 	}
 	most := g.most()
 	chosen := p.atHome(g, most)
-	atHome := make(map[string]int, len(g.Homes))
-	for _, c := range chosen {
-		atHome[c.DataCentre]++
-	}
-	if len(chosen) < most {
-		chosen = append(chosen, p.elsewhere(g, chosen, most-len(chosen))...)
+	ranked := len(chosen)
+	if ranked < most {
+		chosen = append(chosen, p.elsewhere(g, chosen, most-ranked)...)
 	}
-	names := make([]string, len(chosen))
+	names, atHome := make([]string, len(chosen)), make(map[string]int, len(g.Homes))
 	for n, c := range chosen {
 		names[n] = c.Name
 		p.load[c.Name]++
+		if slices.Contains(g.Homes, c.DataCentre) {
+			atHome[c.DataCentre]++ // whoever makes up for others may stand there too
+		}
 	}
-	return Carriers{Names: names, atHome: atHome, usable: usable, count: most}
+	return Carriers{Names: names, atHome: atHome, ranked: ranked, usable: usable, count: most}
 }
 
 // ranked is an instance with what it has drawn for a group.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -61,10 +61,11 @@
 
 // Carriers are the instances that hold connections to a group's members.
 type Carriers struct {
-	Everybody bool     // each instance does, so that nobody passes statements on
-	Names     []string // the first should lead the group; empty with Everybody
-	atHome    map[string]int
-	usable    int // connections to each member that all of them may use
+	Everybody bool           // each instance does, so that nobody passes statements on
+	Names     []string       // the first should lead the group; empty with Everybody
+	atHome    map[string]int // by data centre of a member
+	ranked    int            // those chosen for the data centre of a member; others make up for what these lack
+	usable    int            // connections to each member that all of them may use
 	count     int
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"github.com/stackspindle/stackspindle/internal/locality"
 	"github.com/stackspindle/stackspindle/internal/ownership"
@@ -247,3 +248,36 @@
 	must.Less(t, 0.7, many)
 	must.Greater(t, 0.95, few)
 }
+
+// Whoever the carriers of a group are, in data centres that have few instances or none, and
+// with instances that are unlike: together they use no more connections to a member than it
+// takes.
+func TestCarriersShareAMembersConnections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var alive []ownership.Instance
+		centres := make(map[string]string)
+		for _, centre := range []string{"a", "b", "c", "d"} {
+			for n := range rapid.IntRange(0, 4).Draw(t, "instances") {
+				i := ownership.Instance{Name: fmt.Sprint(centre, n), DataCentre: centre, Weight: rapid.SampledFrom([]float64{0, 1, 10}).Draw(t, "weight")}
+				alive, centres[i.Name] = append(alive, i), centre
+			}
+		}
+		var groups []Group
+		for n := range rapid.IntRange(1, 12).Draw(t, "groups") {
+			homes := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 3).Draw(t, "homes")
+			groups = append(groups, Group{Name: fmt.Sprint("g", n), MaxConnections: rapid.IntRange(8, 140).Draw(t, "connections"), Homes: homes})
+		}
+		placed := Place(groups, Fleet{Alive: alive, Registered: 1000})
+		for _, g := range groups {
+			for _, home := range g.Homes {
+				used := 0
+				for _, name := range placed[g.Name].Names {
+					used += placed[g.Name].Connections(home, centres[name])
+				}
+				if used > g.MaxConnections-Reserved {
+					t.Fatalf("group %+v: %v use %d connections to the member in %s", g, placed[g.Name].Names, used, home)
+				}
+			}
+		}
+	})
+}
--- a/internal/placement/strength.go
+++ b/internal/placement/strength.go
@@ -11,8 +11,8 @@
 type Strength struct {
 	Cores       float64 `json:"cores,omitempty"` // of a processor, that it may use
 	LinkMbps    float64 `json:"link_mbps,omitempty"`
-	MemoryMB    int     `json:"memory_mb,omitempty"`
-	Descriptors int     `json:"descriptors,omitempty"`
+	MemoryMB    float64 `json:"memory_mb,omitempty"`
+	Descriptors float64 `json:"descriptors,omitempty"`
 }
 
 // What a statement costs the instance that carries it, roughly: only which of the two an
@@ -25,9 +25,16 @@
 // Carrying returns how many statements a second the instance can carry, as a weight against
 // others: a carrier needs processor and link. 0 when the instance does not tell both.
 func (s Strength) Carrying() float64 {
-	return min(s.Cores/coreSecondsPerStatement, s.LinkMbps/megabitsPerStatement)
+	weight := min(s.Cores/coreSecondsPerStatement, s.LinkMbps/megabitsPerStatement)
+	if !(weight > 0 && weight <= maxCarrying) {
+		return 0 // no instance is like that: another's registration is taken for one that does not tell
+	}
+	return weight
 }
 
+// maxCarrying is more statements a second than any instance carries.
+const maxCarrying = 1e7
+
 // boundSlack is how much more than its part by weight an instance may carry, as in consistent
 // hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018): less moves more
 // groups when an instance comes or goes, more lets one be chosen more often by chance.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -75,8 +75,9 @@
 		case !r.group.Equal(g) || change.concerns(r):
 			r.group, r.carriers = g, among.place(g)
 		case change.enters(r):
-			f.Alive = change.contenders(r)
-			r.carriers = newPlacer(nil, f).place(g)
+			contest := f
+			contest.Alive = change.contenders(r)
+			r.carriers = newPlacer(nil, contest).place(g)
 		default:
 			continue
 		}
@@ -91,16 +92,17 @@
 
 // fleetChange is how the instances differ from those of the update before.
 type fleetChange struct {
-	left                   map[string]bool
-	joined                 []ownership.Instance
-	alive                  map[string]ownership.Instance
-	registered, registries int // before and now
+	left             map[string]bool
+	joined           []ownership.Instance
+	alive            map[string]ownership.Instance
+	registeredBefore int
+	registeredNow    int
 }
 
 // changed notes the instances and returns how they differ from the last. One whose description
 // has changed has left and joined.
 func (t *Table) changed(f Fleet) fleetChange {
-	change := fleetChange{left: make(map[string]bool), registered: t.registered, registries: f.Registered}
+	change := fleetChange{left: make(map[string]bool), registeredBefore: t.registered, registeredNow: f.Registered}
 	now := make(map[string]ownership.Instance, len(f.Alive))
 	for _, i := range f.Alive {
 		now[i.Name] = i
@@ -120,8 +122,8 @@
 // concerns reports whether the group has to be placed among all instances: it depends on
 // how many are registered, has lost a carrier, or was short of instances near its members.
 func (c fleetChange) concerns(r *row) bool {
-	if r.carriers.Everybody || r.group.everybody(c.registries) {
-		return c.registered != c.registries
+	if r.carriers.Everybody || r.group.everybody(c.registeredNow) {
+		return c.registeredBefore != c.registeredNow
 	}
 	if len(c.joined) > 0 && !r.full() {
 		return true
@@ -160,9 +162,5 @@
 	if len(r.group.Homes) == 0 {
 		return len(r.carriers.Names) == r.carriers.count
 	}
-	near := 0
-	for _, n := range r.carriers.atHome {
-		near += n
-	}
-	return near == r.carriers.count
+	return r.carriers.ranked == r.carriers.count
 }
--- a/internal/pool/class.go
+++ b/internal/pool/class.go
@@ -47,6 +47,7 @@
 
 	unserved time.Duration // when it first asked since it was last granted anything
 	asking   bool          // it has asked since
+	asked    time.Duration // when it asked last
 	span     time.Duration // the longest objective of its requests
 }
 
@@ -131,11 +132,18 @@
 	return c.asking && c.span > 0 && c.waiting[timely]+c.waiting[late] > 0 && now-c.unserved >= c.span
 }
 
-// noteAsked records that a request came.
+// noteGranted records that a request was granted. What still waits goes on asking.
+func (c *class) noteGranted(now time.Duration) {
+	c.asking, c.unserved = c.waiting[timely]+c.waiting[late] > 0, now
+}
+
+// noteAsked records that a request came. Requests may ask over and over without waiting
+// here; what was asked for longer ago than callers want to wait is over.
 func (c *class) noteAsked(now time.Duration, r *Request) {
-	if !c.asking {
+	if !c.asking || now-c.asked > c.span {
 		c.asking, c.unserved = true, now
 	}
+	c.asked = now
 	if r.Objective > 0 {
 		c.span = max(c.span, r.Objective-now)
 	}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -302,7 +302,7 @@
 	q.inUse++
 	f.inUse++
 	f.class.inUse++
-	f.class.asking = false
+	f.class.noteGranted(q.now)
 	if !r.Write {
 		q.reads++
 	}
--- a/internal/quota/door.go
+++ b/internal/quota/door.go
@@ -68,7 +68,7 @@
 // isNext reports whether an operation is the one that is passed on now.
 func (s *shut) isNext(now time.Duration, returning bool) bool {
 	if returning {
-		return true // turns are an interval apart
+		return s.passed == 0 || now-s.passed >= s.interval
 	}
 	if s.passed > 0 {
 		return false
@@ -106,6 +106,8 @@
 		d.accounts[v.Account] = s
 	case sent < s.told:
 		return s.promise(now, v) // it left before the refusal that is known already
+	case now-s.told > doorMemory:
+		s.interval = shortest(v.Limit)
 	default:
 		s.interval *= 2
 	}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -68,10 +67,15 @@
 // can still be served in time elsewhere.
 const tokenShare = 0.25
 
+// leastTokenWait is what a statement waits all the same where that leaves less, as after
+// another carrier has refused it: the way to a holder and back.
+const leastTokenWait = 25 * time.Millisecond
+
 // spend uses the account's right to one operation, or returns the refusal.
 func (s *session) spend(ctx context.Context, account string, route topology.Route, arrived time.Duration) (quota.Token, *statement.Error) {
 	r := s.relay
 	patience := arrived + time.Duration(float64(route.LatencyObjective)*tokenShare) - answerMargin - r.now()
+	patience = min(max(patience, leastTokenWait), arrived+route.Timeout-r.now())
 	token, shortage, ok := r.limiter.Spend(ctx, account, patience)
 	s.accountEmpty = 0
 	if ok {
@@ -81,13 +85,11 @@
 	if shortage.Empty() {
 		s.accountEmpty = shortage.ComeBack
 	}
-	comeBack := shortage.ComeBack
 	if !s.carried {
-		comeBack = s.promise(cmp.Or(r.limiter.Refused(s.visit(account, route), 0, s.accountEmpty), comeBack))
+		s.promise(shortage.ComeBack)
 	}
-	shortage.ComeBack = comeBack
 	r.logAtLimit(account, route.Database, shortage)
-	return token, atLimit(comeBack)
+	return token, atLimit(shortage.ComeBack)
 }
 
 func atLimit(comeBack time.Duration) *statement.Error {
@@ -114,7 +116,7 @@
 		s.relay.limiter.Ran(visit, ago)
 		return
 	}
-	empty := time.Duration(min(reply.AccountEmptyUs, math.MaxInt64/int64(time.Microsecond))) * time.Microsecond
+	empty := time.Duration(min(max(0, reply.AccountEmptyUs), math.MaxInt64/int64(time.Microsecond))) * time.Microsecond
 	if comeBack := s.relay.limiter.Refused(visit, ago, empty); comeBack > 0 {
 		reply.RetryAfterUs = s.promise(comeBack).Microseconds()
 	}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -65,7 +65,9 @@
 	reply, err := stream.ask(ctx, s.carryRequest(st, arrived), left+carryMargin)
 	switch {
 	case errors.Is(err, errNotTaken):
-		s.relay.outlook.lost(carrier.Address)
+		if !errors.Is(err, errCallerLeft) {
+			s.relay.outlook.lost(carrier.Address)
+		}
 		return notCarried(err), true
 	case err != nil:
 		if !errors.Is(err, errCallerLeft) {
--- a/internal/relay/entry_test.go
+++ b/internal/relay/entry_test.go
@@ -44,6 +44,7 @@
 		Upstreams: carrier.relay.upstreams, Conns: conns, Log: carrier.relay.log, Metrics: metrics.NewSet(),
 	})
 	entry.SetCarriers(map[string]Carriers{"g": {Others: []lead.Instance{{Name: "carrier", Address: l.Addr().String()}}}})
+	openSoon(t, entry.carrierConns, l.Addr().String()).release() // so that statements do not wait for the connection
 	return entry
 }
 
@@ -112,7 +113,9 @@
 		entry.limiter = limiterOf(entry)
 		e := &bench{relay: entry}
 		for range 20 {
-			must.Eq(t, statement.Busy, e.run(newSession(entry, withKey("strict", "hot")), statement.Read, "READ 1").Err.Code)
+			refusal := e.run(newSession(entry, withKey("strict", "hot")), statement.Read, "READ 1").Err
+			must.Eq(t, statement.Busy, refusal.Code)
+			must.StrContains(t, refusal.Detail, "the account is at its limit")
 		}
 		must.Eq(t, 20, carrier.asked)
 	}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -37,6 +37,7 @@
 	decided  bool              // there is a verdict, which stands until the statement has run
 	queuedAt time.Duration     // since when it waits in queues; 0: it does not
 	obstacle *obstacle         // why no member could be asked in this round, other than that all are full
+	full     bool              // a member that can be reached had no room in this round
 	waits    bool              // it was found worth holding although there is an obstacle
 
 	failures int              // members that ran the read and failed
@@ -92,7 +93,7 @@
 // run tries members until one has served the statement or time is up.
 func (a *attempt) run() statement.Answer {
 	for {
-		a.obstacle = nil
+		a.obstacle, a.full = nil, false
 		answer, out := a.round()
 		switch out {
 		case served:
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -37,12 +37,7 @@
 
 // silent returns for how long the member has not answered although it was asked. The
 // caller holds mu.
-func (up *upstream) silent(now time.Duration) time.Duration {
-	if since, ok := up.health.SinceAnswer(now); ok && up.health.Doubtful() {
-		return since
-	}
-	return 0
-}
+func (up *upstream) silent(now time.Duration) time.Duration { return up.health.SilentFor(now) }
 
 // request returns what admission needs to know of the statement. One that arrives late,
 // since others could not run it, is treated as its caller's next attempt would be.
@@ -208,7 +203,7 @@
 	if a.decided && !a.verdict.Admit {
 		return false
 	}
-	if a.obstacle != nil && !a.waits {
+	if a.obstacle != nil && !a.full && !a.waits {
 		v := admission.DecideOutage(a.request(), a.obstacle.left, a.obstacle.reason)
 		if !v.Admit {
 			a.verdict, a.decided = v, true
@@ -262,7 +257,7 @@
 	if a.failures > 0 {
 		return a.failed
 	}
-	if up := a.s.relay.upstreams.get(a.lastMember); up != nil {
+	if up := a.s.relay.upstreams.get(a.lastMember); up != nil && a.waitedInVain() {
 		up.mu.Lock()
 		a.learnWait(up, a.now())
 		up.mu.Unlock()
@@ -273,6 +268,10 @@
 	return answer
 }
 
+// waitedInVain reports whether the statement has waited for longer than was predicted. One that
+// ended before, since its caller left or its account is at its limit, tells nothing.
+func (a *attempt) waitedInVain() bool { return a.now()-a.queuedAt > a.verdict.Predicted }
+
 // comeBack returns after what time the caller is told to try again.
 func (a *attempt) comeBack() time.Duration {
 	switch {
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -137,8 +137,10 @@
 	case errors.Is(err, connpool.ErrBackoff):
 		a.obstacle = unreachable(up, a.now())
 		return
-	case errors.Is(err, connpool.ErrDeadline), errors.Is(err, connpool.ErrQueueFull),
-		errors.Is(err, connpool.ErrClosed),
+	case errors.Is(err, connpool.ErrDeadline), errors.Is(err, connpool.ErrQueueFull):
+		a.full = true
+		return
+	case errors.Is(err, connpool.ErrClosed),
 		errors.Is(err, context.Canceled), errors.As(err, &refusal):
 		return
 	}
@@ -199,6 +201,7 @@
 	if !a.s.relay.stands(a.group, pass, a.reads) {
 		a.why = "the primary may have been replaced before the answer could be passed on"
 		if a.reads {
+			a.maybeRun = true
 			return statement.Answer{}, notRun
 		}
 		return statement.Answer{}, unknown
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -38,8 +38,9 @@
 	Refuse(e *statement.Error) error
 	// Quiet reports whether the caller has sent nothing that was not read yet.
 	Quiet() bool
-	// Gone reports whether the caller has closed the connection. It takes nothing from
-	// what the caller has sent, and may be called beside all else.
+	// Gone reports whether the caller has closed the connection, with nothing left to be
+	// read. It takes nothing from what the caller has sent, and may be called beside all else
+	// but Start and Next.
 	Gone() bool
 	// SetReadDeadline bounds the wait in Next.
 	SetReadDeadline(t time.Time) error
--- a/internal/relay/streams.go
+++ b/internal/relay/streams.go
@@ -231,19 +231,48 @@
 	s.owner.idle[s.address] = append(s.owner.idle[s.address], s)
 }
 
+// asking is a question under way. Once it has ended nothing breaks its stream off any more,
+// since the stream may serve another caller.
+type asking struct {
+	stream *carrierStream
+
+	mu    sync.Mutex // guards ended
+	ended bool
+}
+
+// breakOff ends the stream, unless the question has ended.
+func (a *asking) breakOff() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.stream.cancel()
+	}
+}
+
+func (a *asking) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+}
+
 // ask sends a request and returns the reply. An error that wraps errNotTaken means
 // that nothing of it was run; after any error the stream is gone. With ctx the stream
 // ends, and the carrier gives up what waits there.
 func (s *carrierStream) ask(ctx context.Context, req *relaypb.CarryRequest, timeout time.Duration) (*relaypb.CarryReply, error) {
-	timer := time.AfterFunc(timeout, s.cancel)
+	asking := &asking{stream: s}
+	defer asking.end()
+	timer := time.AfterFunc(timeout, asking.breakOff)
 	defer timer.Stop()
-	defer context.AfterFunc(ctx, s.cancel)()
+	defer context.AfterFunc(ctx, asking.breakOff)()
 	done := make(chan struct{})
 	defer close(done)
-	watch := time.AfterFunc(pingAfter, func() { s.owner.watch(s.address, done, s.cancel) })
+	watch := time.AfterFunc(pingAfter, func() { s.owner.watch(s.address, done, asking.breakOff) })
 	defer watch.Stop()
 	if err := s.send(req); err != nil {
 		s.cancel()
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotTaken, errCallerLeft)
+		}
 		return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotTaken, err)
 	}
 	reply, err := s.run.Recv()
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -64,12 +64,9 @@
 // together, may have running at the member.
 func (up *upstream) setShare(share, most int) {
 	up.mu.Lock()
-	changed := share != up.share || most != up.most
-	if changed {
+	defer up.mu.Unlock()
+	if share != up.share || most != up.most {
 		up.share, up.most, up.room, up.mayRun = share, most, pacing.Room{}, share
-	}
-	up.mu.Unlock()
-	if changed {
 		up.pool.SetMaxActive(share)
 	}
 }
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -32,10 +32,11 @@
 // round is a round of questions to the members of a group, shared by all who wait
 // for one that begins after they asked.
 type round struct {
-	done  chan struct{} // closed at the end
-	reads bool          // an answer to a read waits for it; guarded by the group's mu until it begins
-	ok    bool          // no other member leads; valid once done is closed
-	leads bool          // the primary says that it leads; valid once done is closed, where reads was set
+	authority lead.Authority
+	done      chan struct{} // closed at the end
+	reads     bool          // an answer to a read waits for it; guarded by the group's mu until it begins
+	ok        bool          // no other member leads; valid once done is closed
+	leads     bool          // the primary says that it leads; valid once done is closed, where reads was set
 }
 
 // verifier verifies that no other member leads a group. The group's mu guards it.
@@ -73,13 +74,17 @@
 	g.mu.Lock()
 	wanted := g.verifier.next
 	if wanted == nil {
-		wanted = &round{done: make(chan struct{})}
+		wanted = &round{authority: a, done: make(chan struct{})}
 		g.verifier.next = wanted
 	}
+	if wanted.authority != a {
+		g.mu.Unlock()
+		return false // the primary has been replaced, or is known to have been elsewhere here
+	}
 	wanted.reads = wanted.reads || reads
 	if !g.verifier.running {
 		g.verifier.running = true
-		go r.runRounds(g, a)
+		go r.runRounds(g)
 	}
 	g.mu.Unlock()
 	select {
@@ -91,7 +96,7 @@
 }
 
 // runRounds runs rounds, one after another, while somebody waits for one.
-func (r *Relay) runRounds(g *groupState, a lead.Authority) {
+func (r *Relay) runRounds(g *groupState) {
 	for {
 		g.mu.Lock()
 		current := g.verifier.next
@@ -102,7 +107,7 @@
 			return
 		}
 		g.mu.Unlock()
-		r.ask(current, a, g.name)
+		r.ask(current, g.name)
 		g.mu.Lock()
 		if current.ok {
 			g.verifier.okAt = r.now()
@@ -121,8 +126,8 @@
 }
 
 // ask asks the members at once, the primary only where a read waits.
-func (r *Relay) ask(current *round, a lead.Authority, group string) {
-	snap := r.snapshot()
+func (r *Relay) ask(current *round, group string) {
+	a, snap := current.authority, r.snapshot()
 	if len(snap.Departed[group]) > 0 {
 		return // one of them may have come back and been promoted, and cannot be asked
 	}
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -58,11 +58,10 @@
 	pause := up.window.Answered(took, usual)
 	before := up.mayRun
 	up.mayRun = up.share + up.room.Answered(&up.window, waiting, up.share, up.most)
-	mayRun := up.mayRun
-	up.mu.Unlock()
-	if mayRun != before {
-		up.pool.SetMaxActive(mayRun)
+	if up.mayRun != before {
+		up.pool.SetMaxActive(up.mayRun)
 	}
+	up.mu.Unlock()
 	if pause > 0 {
 		span := r.snapshot().Priorities[g.name]
 		up.pool.Pause(pacing.Level(route.Priority, span.Top, span.Last), pause)
