--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -308,7 +308,7 @@
 // leadAfterPerGroup is for how long after its registration an instance leaves groups without
 // a leader to others, for each group that there is. Instances that start together do not know
 // of one another at once; each would try to lead all groups meanwhile, and the store takes
-// a few hundred writes a second.
+// fewer writes a second than that.
 const leadAfterPerGroup = 2 * time.Millisecond
 
 // mayLead reports whether an instance that has been registered for a time takes over groups
--- a/internal/lead/attest.go
+++ b/internal/lead/attest.go
@@ -77,8 +77,8 @@
 
 // attestors returns whom an instance asks: a quorum and some more, those of its own
 // data centre first, then those of its region, and beginning with another one for each
-// instance. Where that does not do, all are asked the next time. With 71 instances that
-// is 42 calls instead of 70, and fewer of them between data centres.
+// instance. Where that does not do, all are asked the next time. That
+// saves calls, most of them between data centres.
 func attestors(registered []Instance, self Instance, needed int, places locality.Map) []Instance {
 	var near, far []Instance
 	for _, i := range registered {
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -72,7 +72,7 @@
 		log.Info("lead: the primary should be replaced, but no other member is in service")
 		return
 	}
-	if planned && !c.plannedIsDue(ctx, g, log) {
+	if planned && !c.mayAnnounce(ctx, g, log) {
 		return
 	}
 	log.Info("lead: the primary is to be replaced: " + reason)
@@ -92,45 +92,45 @@
 	// changeTime is what a change takes once all grants are released: the drain, the
 	// promotion, and until the new primary is known.
 	changeTime = plannedDrain + time.Second
-	// silentPatience is for how long an instance that does not answer, and whose lease
+	// silentTimeout is for how long an instance that does not answer, and whose lease
 	// holds, puts a planned change off. It may be starting again; one that stays silent
 	// is waited for by the change itself, from its announcement on.
-	silentPatience = time.Second
+	silentTimeout = time.Second
 )
 
-// plannedIsDue reports whether a planned change can be announced: so many instances
+// mayAnnounce reports whether a planned change can be announced: so many instances
 // can be reached that it does not wait for what the others may still attest to one
 // another, and it does not wait for one that is gone. Once it is announced the group has
 // no primary; until then the old one serves.
-func (c *Controller) plannedIsDue(ctx context.Context, g *ledGroup, log *logrus.Entry) bool {
+func (c *Controller) mayAnnounce(ctx context.Context, g *ledGroup, log *logrus.Entry) bool {
 	if g.plannedAt > 0 && c.now()-g.plannedAt < plannedPause {
 		return false
 	}
-	if g.putOffSince == 0 || c.now()-g.plannedAt > 4*plannedPause {
-		g.putOffSince = c.now()
+	if g.postponedSince == 0 || c.now()-g.plannedAt > 4*plannedPause {
+		g.postponedSince = c.now()
 	}
 	g.plannedAt = c.now()
-	s, waited := c.survey(ctx), c.now()-g.putOffSince
-	if why := putOff(s, waited, c.drainTime-grantsLapsed-changeTime); why != "" {
+	s, waited := c.survey(ctx), c.now()-g.postponedSince
+	if why := postponedBecause(s, waited, c.drainTime-grantsLapsed-changeTime); why != "" {
 		log.WithFields(logrus.Fields{
 			"answered": s.answered, "needed": s.needed, "silent": s.silent, "lapsing": s.lapsing, "waited_ms": waited.Milliseconds(),
 		}).Info("lead: the primary is to be replaced as planned, and serves meanwhile: " + why)
 		return false
 	}
-	g.putOffSince = 0
+	g.postponedSince = 0
 	return true
 }
 
-// putOff returns why a planned change is not announced yet, empty when it is. patience is
+// postponedBecause returns why a planned change is not announced yet, empty when it is. patience is
 // for how long it may be put off in all, so that what then waits for each grant ends
 // before work for the old primary must have.
-func putOff(s survey, waited, patience time.Duration) string {
+func postponedBecause(s survey, waited, patience time.Duration) string {
 	switch {
 	case s.answered < s.needed:
 		return "too few instances can be reached"
 	case s.lapsing > 0 && waited < patience:
 		return "the grant of an instance that is gone has not lapsed"
-	case s.silent > 0 && waited < min(patience, silentPatience):
+	case s.silent > 0 && waited < min(patience, silentTimeout):
 		return "an instance that may hold a grant does not answer"
 	}
 	return ""
@@ -230,7 +230,7 @@
 		if !c.hasSuccessor(group, record.Primary, cleared) {
 			return nil, fmt.Errorf("%w: instances that were not reached may not know of the others", errNoCandidate)
 		}
-		cleared.last, cleared.down = c.finalStatus(ctx, record)
+		cleared.last, cleared.steppedDown = c.finalStatus(ctx, record)
 	}
 	if cleared.stays {
 		c.log.WithFields(logrus.Fields{"group": group, "member": record.Primary}).Info("lead: the primary is well again and stays")
@@ -310,14 +310,14 @@
 func (c *Controller) selection(cleared clearing) Selection {
 	return Selection{
 		Last: cleared.last.Received, KnownBefore: c.now() - verifiableLapsed, Seen: cleared.seen,
-		Unreached: cleared.unreached && (!cleared.down || cleared.seen == 0),
+		Unreached: cleared.unreached && (!cleared.steppedDown || cleared.seen == 0),
 	}
 }
 
 // hasSuccessor reports whether any other member may be promoted once a primary that
 // serves has stepped down. Until then it is not told to.
 func (c *Controller) hasSuccessor(group, primary string, cleared clearing) bool {
-	cleared.down = true
+	cleared.steppedDown = true
 	s := c.selection(cleared)
 	return slices.ContainsFunc(c.successors(group, primary), func(m topology.Member) bool { return !s.Unreached || s.known(m) })
 }
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -120,27 +120,27 @@
 // ledGroup is what the controller keeps of one group. Its fields belong to the
 // task that runs for the group, or to Tick while none does.
 type ledGroup struct {
-	busy        bool // a task runs; guarded by the controller's mu
-	refused     int  // connections to the primary refused in a row
-	silent      bool // the last question to the primary got no answer
-	probedAt    time.Duration
-	doubtAt     time.Duration // when a question since its last answer was first left unanswered; 0: none was
-	leading     int64         // revision of the leader's key at the last look
-	generation  uint64        // of our leadership
-	provenAt    time.Duration // when our last conditional write was sent; 0: none yet
-	announced   string        // change that this instance carries out, and
-	announcedAt time.Duration // since when it is known to be in the store
-	inherited   string        // change that was under way when we took over
-	takenAt     time.Duration // when we took over
-	tried       attempt       // the last attempt to take over
-	absentAt    time.Duration // when the primary's entry was first found missing, 0: it is there
-	steppedAt   time.Duration // when we last tried to give the group up
-	plannedAt   time.Duration // when a planned change was last considered; 0: never
-	putOffSince time.Duration // since when one that is wanted has been put off; 0: none is
-	relievedAt  time.Duration // when the primary was last changed for being alone; 0: never
-	outcome     *outcome      // reached, but perhaps not in the store yet
-	conn        member.Conn   // to the primary, for questions
-	connTo      string
+	busy           bool // a task runs; guarded by the controller's mu
+	refused        int  // connections to the primary refused in a row
+	silent         bool // the last question to the primary got no answer
+	probedAt       time.Duration
+	doubtAt        time.Duration // when a question since its last answer was first left unanswered; 0: none was
+	leading        int64         // revision of the leader's key at the last look
+	generation     uint64        // of our leadership
+	provenAt       time.Duration // when our last conditional write was sent; 0: none yet
+	announced      string        // change that this instance carries out, and
+	announcedAt    time.Duration // since when it is known to be in the store
+	inherited      string        // change that was under way when we took over
+	takenAt        time.Duration // when we took over
+	tried          attempt       // the last attempt to take over
+	absentAt       time.Duration // when the primary's entry was first found missing, 0: it is there
+	steppedAt      time.Duration // when we last tried to give the group up
+	plannedAt      time.Duration // when a planned change was last considered; 0: never
+	postponedSince time.Duration // since when one that is wanted has been put off; 0: none is
+	relievedAt     time.Duration // when the primary was last changed for being alone; 0: never
+	outcome        *outcome      // reached, but perhaps not in the store yet
+	conn           member.Conn   // to the primary, for questions
+	connTo         string
 }
 
 // outcome is the end of a change as the members show it.
--- a/internal/lead/planned_test.go
+++ b/internal/lead/planned_test.go
@@ -27,15 +27,15 @@
 		"too few can be reached":                 {survey{answered: 5, needed: 6, silent: 4}, time.Hour, true},
 		"one is gone, its grant has not lapsed":  {survey{answered: 8, needed: 6, lapsing: 1}, patience - 1, true},
 		"the primary must be left soon":          {survey{answered: 8, needed: 6, lapsing: 1}, patience, false},
-		"one does not answer, its lease holds":   {survey{answered: 8, needed: 6, silent: 1}, silentPatience - 1, true},
-		"the same for long enough to start anew": {survey{answered: 8, needed: 6, silent: 1}, silentPatience, false},
-		"both, and the silent one has had time":  {survey{answered: 7, needed: 6, silent: 1, lapsing: 1}, silentPatience, true},
+		"one does not answer, its lease holds":   {survey{answered: 8, needed: 6, silent: 1}, silentTimeout - 1, true},
+		"the same for long enough to start anew": {survey{answered: 8, needed: 6, silent: 1}, silentTimeout, false},
+		"both, and the silent one has had time":  {survey{answered: 7, needed: 6, silent: 1, lapsing: 1}, silentTimeout, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			must.Eq(t, c.putsOff, putOff(c.s, c.waited, patience) != "")
+			must.Eq(t, c.putsOff, postponedBecause(c.s, c.waited, patience) != "")
 		})
 	}
-	must.Eq(t, "", putOff(survey{answered: 8, needed: 6, silent: 1, lapsing: 1}, 0, -time.Second),
+	must.Eq(t, "", postponedBecause(survey{answered: 8, needed: 6, silent: 1, lapsing: 1}, 0, -time.Second),
 		must.Sprint("there is no time to wait where work must end at once"))
 }
 
@@ -193,11 +193,11 @@
 	must.NoError(t, err)
 	around.refresh(t, store.Client())
 	around.view.joined["b"] = 0
-	due := func() bool { return leader.plannedIsDue(t.Context(), g, leader.log) }
+	due := func() bool { return leader.mayAnnounce(t.Context(), g, leader.log) }
 	must.False(t, due())
 	clock += plannedPause
 	must.False(t, due())
-	clock += silentPatience - plannedPause
+	clock += silentTimeout - plannedPause
 	must.True(t, due(), must.Sprint("it has been silent for long enough"))
 	must.False(t, due(), must.Sprint("looked at too soon"))
 	clock += time.Minute
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -17,10 +17,10 @@
 
 // clearing is how the end of the old primary's use was reached.
 type clearing struct {
-	done  bool          // no instance uses the old primary any more without asking the others
-	stays bool          // or it is well after all, and stays the primary
-	last  member.Status // what the old primary said when it stepped down
-	down  bool          // it said that it has
+	done        bool          // no instance uses the old primary any more without asking the others
+	stays       bool          // or it is well after all, and stays the primary
+	last        member.Status // what the old primary said when it stepped down
+	steppedDown bool          // it said that it has
 
 	// unreached says that some instances may still use it, each as long as every
 	// other member that it knows of tells it that it does not lead. All of them know
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -15,9 +15,9 @@
 	Last         group.Position // end of its log, when it stepped down; zero: not known
 	Replicas     int            // of the group
 	SyncReplicas int            // that had received each acknowledged commit
-	Unreached    bool           // some instances may still use the old primary; then only a member may be
-	KnownBefore  time.Duration  // promoted that has been known from before this time, or that
-	Seen         int64          // has been in the store unchanged since this revision
+	Unreached    bool           // some instances may still use the old primary: only members that these know of may be promoted
+	KnownBefore  time.Duration  // a member known from before this time is known to them
+	Seen         int64          // so is one that has been in the store unchanged since this revision; 0: none
 	Hurry        bool           // do not wait for a log to reach Last any longer
 }
 
--- a/internal/lead/turn.go
+++ b/internal/lead/turn.go
@@ -19,7 +19,7 @@
 )
 
 // writeTurns spaces the writes that begin to lead groups. It answers the load of a start of
-// many instances before many groups: the store takes some hundred writes a second, and
+// many instances before many groups: the store takes fewer writes a second than there are groups, and
 // groups that each try again on their own have it refuse thousands. Each refused call is
 // charged, and those that count wait behind it. It has no clock and is safe for
 // concurrent use.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,11 +22,11 @@
 )
 
 const (
-	// askTimeout bounds a question for tokens. A machine whose share of the processor is
+	// askTimeout bounds a question for tokens. An instance whose share of the processor is
 	// spent stands still for as long.
 	askTimeout = 100 * time.Millisecond
 	// lateTimes is how many times its usual time an answer may take before the next holder is
-	// asked beside, within minLate, which a busy machine takes, and maxLate.
+	// asked beside, within minLate, which a busy instance takes, and maxLate.
 	lateTimes = 3
 	minLate   = 8 * time.Millisecond
 	maxLate   = 25 * time.Millisecond
@@ -151,10 +151,10 @@
 		select {
 		case <-asked:
 		case <-deadline:
-			l.giveUp(name)
+			l.giveUp(name, "unanswered")
 			return quota.Token{}, quota.Shortage{ComeBack: unansweredPause}, false
 		case <-ctx.Done():
-			l.giveUp(name)
+			l.giveUp(name, "caller_left")
 			return quota.Token{}, quota.Shortage{ComeBack: unansweredPause}, false
 		}
 	}
@@ -212,12 +212,12 @@
 	return decision, done
 }
 
-// giveUp notes that an operation waits no longer.
-func (l *Limiter) giveUp(name string) {
+// giveUp notes that an operation waits no longer, and why.
+func (l *Limiter) giveUp(name, outcome string) {
 	l.mu.Lock()
 	l.waiting[name]--
 	l.mu.Unlock()
-	l.counters.note(name, "unanswered")
+	l.counters.note(name, outcome)
 }
 
 // question is one account's question for tokens, to one holder after another.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,12 +31,12 @@
 	leastPool = 2
 	// sharedPool is the least that a carrier has where not every instance can be one.
 	sharedPool = 4
-	// farPool is how many connections to a member a carrier in another data centre has: one
-	// that a transaction holds, and one for everything else.
-	farPool = leastPool
-	// farParts is by how much less than an equal share such a carrier has where that is more.
-	// While replicas lag, its callers' reads need the primary, wherever that is.
-	farParts = 2
+	// leastFarPool is the least number of connections to a member of a carrier in another data
+	// centre: one that a transaction holds, and one for everything else.
+	leastFarPool = leastPool
+	// farDivisor divides the equal share of the connections that such a carrier has where that
+	// is more: while replicas lag, its callers' reads need the primary, wherever that is.
+	farDivisor = 2
 	// PerMember is how many carriers stand in the data centre of each member: while
 	// one is gone the other serves.
 	PerMember = 2
@@ -114,10 +114,10 @@
 func (c Carriers) Connections(member, self string) int {
 	near := c.atHome[member]
 	far := c.count - near
-	if c.Everybody || near == 0 || c.usable < farPool*far+sharedPool*near {
+	if c.Everybody || near == 0 || c.usable < leastFarPool*far+sharedPool*near {
 		return max(1, c.usable/c.count)
 	}
-	farShare := max(farPool, c.usable/c.count/farParts)
+	farShare := max(leastFarPool, c.usable/c.count/farDivisor)
 	if member != self {
 		return farShare
 	}
@@ -126,9 +126,8 @@
 
 // Active returns how many statements outside transactions a carrier may have running
 // at a member with some slots. Carriers in the member's own data centre share the
-// member; one elsewhere has one statement there at a time, which serves when the
-// members near it are worse off. With 6 carriers before 3 slots that is 6 from near ones and 4
-// from the others at the most, where 32 carriers had up to 32.
+// member; one elsewhere has an equal share of all carriers, which serves when the
+// members near it are worse off.
 func (c Carriers) Active(slots int, member, self string) int {
 	sharers := c.count
 	if !c.Everybody && member == self && c.atHome[member] > 0 {
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -38,7 +38,7 @@
 	ID       uint64
 	Service  string
 	Account  string        // whose connection is wanted, where connections belong to accounts
-	Priority int           // 0 ranks highest
+	Priority int           // lower ranks higher; callers' begin at 0, negative ones are the instance's own questions
 	Work     time.Duration // expected time at the member, 0: not known
 	// Objective is until when an answer is in time, 0: none.
 	Objective time.Duration
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -78,7 +78,7 @@
 func TokenUntil(until time.Duration) Token { return Token{until: until} }
 
 // Expired reports whether the token is not worth anything any more, so that its operation
-// must not be sent to a member with it. None never expires.
+// must not be sent to a member with it. The zero token never expires.
 func (t Token) Expired(now time.Duration) bool { return t != (Token{}) && t.until <= now }
 
 // Return takes back a token whose operation has not run.
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -121,7 +121,7 @@
 // noteNoAnswer records that a carrier's answer did not arrive, or was not awaited.
 func (s *session) noteNoAnswer(st statement.Statement, carrier string, arrived time.Duration, cause error) {
 	if errors.Is(cause, errCallerLeft) {
-		s.relay.noteLeft(s.start.Database, "carried", s.relay.now()-arrived)
+		s.relay.noteCallerGone(s.start.Database, "carried", s.relay.now()-arrived)
 		return
 	}
 	s.relay.logLost(s, st, carrier, cause)
--- a/internal/relay/departure.go
+++ b/internal/relay/departure.go
@@ -64,20 +64,20 @@
 	}
 }
 
-// errLeft tells why a statement that nobody waits for was not run.
-const errLeft = "its caller has gone"
+// goneReason tells why a statement that nobody waits for was not run.
+const goneReason = "its caller has gone"
 
-// hasLeft reports whether nobody waits for the statement any more, and records that.
-func (a *attempt) hasLeft() bool {
+// callerGone reports whether nobody waits for the statement any more, and records that.
+func (a *attempt) callerGone() bool {
 	if a.ctx.Err() == nil {
 		return false
 	}
-	a.why = errLeft
+	a.why = goneReason
 	return true
 }
 
-// noteLeft counts and logs a statement that was given up since its caller had gone.
-func (r *Relay) noteLeft(database, where string, waited time.Duration) {
+// noteCallerGone counts and logs a statement that was given up since its caller had gone.
+func (r *Relay) noteCallerGone(database, where string, waited time.Duration) {
 	r.set.GetOrCreateCounter(`stackspindle_callers_left_total{waited="` + where + `"}`).Inc()
 	if leftOut, ok := r.sampler.Allow("left" + where); ok {
 		r.log.WithFields(logrus.Fields{"database": database, "waited": where, "waited_ms": waited.Milliseconds(), "left_out": leftOut}).
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -101,8 +101,8 @@
 		case unknown:
 			return a.giveUpUnknown()
 		}
-		if a.hasLeft() {
-			a.s.relay.noteLeft(a.route.Database, "here", a.now()-a.arrived)
+		if a.callerGone() {
+			a.s.relay.noteCallerGone(a.route.Database, "here", a.now()-a.arrived)
 			return a.refuse()
 		}
 		if a.atLimit || !a.worthHolding() {
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -19,7 +19,7 @@
 	// patienceTimes is how many times its usual time a statement may take before it
 	// does not count as work of its member any more, so that a lost answer does not
 	// keep others away, and the least that a member gets for a read that others could
-	// serve. Work of one kind differs by a factor of three or so, and waits for others.
+	// serve. Statements of one kind differ in their work, and wait for others.
 	patienceTimes = 8
 	// defaultPatience stands for that while nothing usual is known.
 	defaultPatience = 150 * time.Millisecond
@@ -51,7 +51,7 @@
 // waitUntil, the answer until timeout.
 func (a *attempt) tryAt(ctx context.Context, t target, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay, up := a.s.relay, t.up
-	if a.hasLeft() || !a.mayRepeat() {
+	if a.callerGone() || !a.mayRepeat() {
 		return statement.Answer{}, noRoom
 	}
 	a.lastMember, a.lastAfter = up.id, t.after
@@ -84,7 +84,7 @@
 		a.why = err.Error()
 		return statement.Answer{}, noRoom
 	}
-	if a.hasLeft() || a.token.Expired(a.now()) && !a.spendAgain() {
+	if a.callerGone() || a.token.Expired(a.now()) && !a.spendAgain() {
 		held.release() // nobody waits for it, or it has waited for longer than the right to it lasts
 		return statement.Answer{}, noRoom
 	}
--- a/internal/relay/outlook.go
+++ b/internal/relay/outlook.go
@@ -140,7 +140,7 @@
 	r := s.relay
 	level := min(max(route.Priority, 0), lowestPriority)
 	r.countRefusal(c.Verdict.Reason.String(), level)
-	if leftOut, ok := r.sampler.Allow("refusal door" + route.Group); ok {
+	if leftOut, ok := r.sampler.Allow("refusal carriers " + route.Group); ok {
 		r.log.WithField("request", st.ID).WithField("group", route.Group).WithField("priority", route.Priority).
 			WithField("reason", c.Verdict.Reason.String()).WithField("wait_ms", c.Verdict.Wait.Milliseconds()).WithField("age_ms", c.Age.Milliseconds()).
 			WithField("come_back_ms", c.Verdict.ComeBack.Milliseconds()).WithField("left_out", leftOut).Info("relay: a statement was refused, since all carriers would refuse it")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,10 +146,13 @@
 // that was at once, for what reason, and what was predicted.
 func (r *Relay) noteRefusal(a *attempt, comeBack time.Duration) {
 	held, reason := r.now()-a.arrived, "held"
-	if a.hasLeft() {
+	switch {
+	case a.callerGone():
 		reason = "caller_left"
-	} else if a.decided && !a.verdict.Admit {
+	case a.decided && !a.verdict.Admit:
 		reason = a.verdict.Reason.String()
+	case a.atLimit:
+		reason = "at_limit"
 	}
 	r.countRefusal(reason, a.level())
 	if leftOut, ok := r.sampler.Allow("refusal" + reason + a.route.Group); ok {
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -136,8 +136,8 @@
 }
 
 // Bounds of how long a member that was found lagging is not tried again, for
-// reads that need more than it had. Each try costs a round trip of up to 2.8 ms
-// and a connection for that time.
+// reads that need more than it had. Each try costs a round trip, and a connection
+// meanwhile.
 const (
 	minLagPause = 15 * time.Millisecond
 	maxLagPause = 120 * time.Millisecond
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -44,7 +44,7 @@
 	// ShrinkInterval is the pause between two looks for such.
 	ShrinkInterval = unusedFor / 3
 	// patience is how long a request waits for a connection in use before another
-	// is opened, which itself takes a slot of the member for 12 ms.
+	// is opened, which itself takes a slot of the member for a while.
 	patience = 10 * time.Millisecond
 )
 
