--- a/review/_standins/env.go
+++ b/review/_standins/env.go
@@ -80,6 +80,8 @@
 	replicaLag      = 20 * time.Millisecond
 	drain           = 7 * time.Second // drain-ms
 	readyTimeout    = 20 * time.Second
+	promoteDelay    = 600 * time.Millisecond
+	entryExpiry     = 3600 * time.Millisecond // three pings of heartbeat-ms
 )
 
 // route is a route of the configuration.
@@ -119,14 +121,26 @@
 	return f, nil
 }
 
-// promote serves the platform's promotion call.
+// promote serves the platform's promotion call. The member leads promoteDelay after the call.
 func (f *fleet) promote(group, id, instance string, token uint64) error {
 	g := f.groups[group]
 	if g == nil {
 		return fmt.Errorf("no service %q", group)
 	}
 	f.rec.printf("POST /promote service=%s id=%s Duty-Holder=%s Fencing-Token=%d", group, id, instance, token)
-	return g.Promote(context.Background(), group, id, instance, token)
+	time.AfterFunc(promoteDelay, func() {
+		if err := g.Promote(context.Background(), group, id, instance, token); err != nil {
+			f.rec.printf("member %s was not promoted: %v", id, err)
+			return
+		}
+		f.rec.printf("member %s leads", id)
+		for n := range membersPerGroup {
+			if memberID(group, n) == id {
+				f.putMember(group, n, "ready")
+			}
+		}
+	})
+	return nil
 }
 
 // memberID returns the ID of a member of a group.
--- a/review/_standins/sync.go
+++ b/review/_standins/sync.go
@@ -71,6 +71,7 @@
 	if trouble {
 		rec.printf("member %s, the primary, crashes", primary)
 		g.SetReachability(primary, membergroup.Down)
+		time.AfterFunc(entryExpiry, func() { f.store.Delete("servers/" + primary) })
 	}
 	time.Sleep(afterCrash)
 	close(quit)
