lead: log what the choice of a primary is based on

The log said which member was promoted and at which position, but not what the other members had answered. A promotion that drops acknowledged commits could not be told from one in which no member had them.

chooseCandidate now logs each answer (role, term, position, draining) with the criteria, once when it decides and once when it gives up.

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -304,15 +305,29 @@
 			best, decided = Select(answers, s)
 		}
 		if decided {
+			c.logSelection(name, s, answers).WithField("chosen", best.member.ID).Info("lead: a member was chosen as the primary")
 			return best.member, best.status, nil
 		}
 		if ctx.Err() != nil || c.now() >= deadline {
+			c.logSelection(name, s, answers).Info("lead: no member can be promoted")
 			return topology.Member{}, member.Status{}, errNoCandidate
 		}
 		sleep(ctx, pollInterval)
 	}
 }
 
+// logSelection returns a log entry with what the choice of a primary was based on.
+func (c *Controller) logSelection(group string, s Selection, answers []memberStatus) *logrus.Entry {
+	described := make([]string, len(answers))
+	for n, answer := range answers {
+		described[n] = answer.String()
+	}
+	return c.log.WithFields(logrus.Fields{
+		"group": group, "old_primary": s.OldPrimary, "term": s.Term, "planned": s.Planned, "answers": strings.Join(described, ", "),
+		"replicas": s.Replicas, "sync_replicas": s.SyncReplicas, "final_position": s.FinalPosition.String(), "unreached": s.Unreached,
+	})
+}
+
 // selection returns the criteria for candidates that follow from how the grants ended. Once
 // the old primary has stepped down, unreachable instances no longer restrict the choice: it
 // refuses their writes, and they do not pass on what they read from it, because they ask it
--- a/internal/lead/member_query.go
+++ b/internal/lead/member_query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/stackspindle/stackspindle/internal/account"
@@ -21,6 +22,18 @@
 	status member.Status
 }
 
+// String describes the member's role, log position and state for log lines.
+func (m memberStatus) String() string {
+	role := "replica"
+	if m.status.Primary {
+		role = "primary"
+	}
+	if m.member.Draining {
+		role = "draining " + role
+	}
+	return fmt.Sprintf("%s: %s of term %d at %s", m.member.ID, role, m.status.Term, m.status.Received)
+}
+
 // queryMembers requests the status of members concurrently and returns those that answered.
 // Once all others have answered or failed, a suspect, which may be dead, gets only
 // suspectGrace more.
