lead: promote only members with every acknowledged commit

Cause: Select counted a draining replica among those that had answered, which is the proof that the answers include each acknowledged commit, and then skipped it as a candidate. A replica that an unreachable instance may not know was counted and skipped as well.

Change: Select first determines up to which position commits may have been acknowledged, from all replicas that answered, and promotes in a group with synchronous replication only a member whose log reaches it. If only a draining replica does, it is promoted after 0.2 s (after the catch-up timeout in a planned change), provided that enough of its drain is left to lead and to be replaced. A draining primary of such a group serves until a successor has its log. That needs the time since which a member drains (topology.Member.DrainingSince). Groups without synchronous replicas decide as before.

Ruled out: the PostgreSQL path (failover.successor takes the longest log first).

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -50,6 +50,9 @@
 	// catchUpTimeout bounds the wait until a replica has received the old primary's last
 	// writes.
 	catchUpTimeout = 1500 * time.Millisecond
+	// receiveTimeout is how long replicas get, once the primary is considered dead, to
+	// receive what it had sent to them. After it a draining replica may be promoted.
+	receiveTimeout = 200 * time.Millisecond
 	// inheritedPromotionTimeout is how long a new leader waits for a promotion that an
 	// earlier leader may have requested, before it requests one itself.
 	inheritedPromotionTimeout = promoteCallTimeout + promotionTimeout
@@ -78,6 +81,10 @@
 	if planned && !c.mayAnnounce(ctx, g, log) {
 		return
 	}
+	if planned && c.awaitsCatchUp(ctx, group, record.Primary) {
+		log.Info("lead: the primary is to be replaced as planned, and serves meanwhile: no other member has received its log")
+		return
+	}
 	log.Info("lead: the primary is to be replaced: " + reason)
 	c.env.Event("change", group, record.Primary, record.Term, reason)
 	if _, err := c.write(ctx, group, g, record, revision); err != nil {
@@ -96,6 +103,9 @@
 	// expectedChangeDuration is how long a change takes apart from waiting for grants to
 	// lapse: the drain, the promotion, and until the new primary is known.
 	expectedChangeDuration = plannedDrain + time.Second
+	// drainingLeadTime is how long a draining member must still serve to be promoted: until
+	// it leads, and until another one has replaced it.
+	drainingLeadTime = 2 * expectedChangeDuration
 	// unresponsivePostponement is how long a planned change is postponed for an instance
 	// that does not answer although its lease is valid. It may be restarting. If it stays
 	// unresponsive, the change waits for it after the announcement.
@@ -125,6 +135,31 @@
 	return true
 }
 
+// awaitsCatchUp reports whether the replacement of a draining primary should wait because no
+// successor receives, within catchUpTimeout, the log that the primary has now. Without
+// synchronous replication the loss of the last commits is accepted instead. The wait ends
+// early enough that work on the primary can end in time.
+func (c *Controller) awaitsCatchUp(ctx context.Context, group, primaryID string) bool {
+	primary, known := c.env.Topology().Member(primaryID)
+	if c.env.Topology().Groups[group].SyncReplicas == 0 || !known || !primary.Draining {
+		return false
+	}
+	status := c.queryMember(ctx, primary)
+	if status == nil {
+		return false
+	}
+	end := min(c.now()+catchUpTimeout, primary.DrainingSince+c.drainTimeout-expectedChangeDuration)
+	for c.now() < end && ctx.Err() == nil {
+		for _, successor := range c.queryMembers(ctx, c.successors(group, primaryID), "") {
+			if successor.status.Received.AtLeast(status.status.Received) {
+				return false
+			}
+		}
+		sleep(ctx, pollInterval)
+	}
+	return c.now() < primary.DrainingSince+c.drainTimeout-expectedChangeDuration
+}
+
 // postponeReason returns why a planned change is not announced yet, empty if it can be.
 // waited is how long it has been postponed, maxPostponement how long it may be postponed in
 // all, which leaves enough time for the remaining grants to lapse before work on the old
@@ -288,15 +323,21 @@
 
 // chooseCandidate requests the status of all members until Select decides on one, for at
 // most catchUpTimeout. It returns a member that is already primary in a newer term, the old
-// primary if it is healthy again, or the member in service with the longest log.
+// primary if it is healthy again, or the member with the longest log. That is a draining
+// one only if no other has received the acknowledged commits in time.
 func (c *Controller) chooseCandidate(ctx context.Context, name string, record Record, change Change, grants grantsOutcome) (topology.Member, member.Status, error) {
 	deadline := c.now() + catchUpTimeout
+	allowDrainingAt := c.now() + receiveTimeout
+	if change.Planned {
+		allowDrainingAt = deadline // the old primary still sends its log
+	}
 	for {
 		members := c.env.Topology().MembersOf(name)
 		answers := c.queryMembers(ctx, members, record.Primary)
 		s := c.selection(grants)
 		s.OldPrimary, s.Term, s.Planned = record.Primary, record.Term, change.Planned
 		s.Replicas, s.SyncReplicas = len(members)-1, c.env.Topology().Groups[name].SyncReplicas
+		s.AllowDraining, s.DrainingAfter = c.now() >= allowDrainingAt, c.now()-c.drainTimeout+drainingLeadTime
 		strict := s // prefer a member that all instances know, if it has the whole log
 		strict.Unreached = grants.unreachable
 		best, decided := Select(answers, strict)
--- a/internal/lead/controller_test.go
+++ b/internal/lead/controller_test.go
@@ -80,11 +80,16 @@
 }
 
 func newController(t *testing.T, name string, store kv.Store) (*Controller, *fakeEnvironment) {
+	return newControllerFor(t, name, store, topology.Group{Name: "g"}, "m1", "m2")
+}
+
+// newControllerFor returns a controller for group g with these members.
+func newControllerFor(t *testing.T, name string, store kv.Store, declared topology.Group, members ...string) (*Controller, *fakeEnvironment) {
 	now := func() time.Duration { return 0 }
-	group := membergroup.New("g", "m1", "m2")
+	group := membergroup.New("g", members...)
 	state := topology.New(0, 0)
-	state.SetConfig(topology.Config{Version: 1, Groups: []topology.Group{{Name: "g"}}})
-	for _, id := range []string{"m1", "m2"} {
+	state.SetConfig(topology.Config{Version: 1, Groups: []topology.Group{declared}})
+	for _, id := range members {
 		state.SetMember(0, group.Entry(id), false)
 	}
 	f := &fakeEnvironment{name: name, view: NewView(), guard: NewPrimaryGuard(now), topology: state.Snapshot()}
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -19,7 +19,9 @@
 	Unreached       bool           // unreachable instances may still use the old primary, so only members that they know may be promoted
 	KnownBefore     time.Duration  // unreachable instances know each member that has been known here since before this time
 	SeenRevision    int64          // unreachable instances know each member whose entry has been unchanged since this store revision; 0: unknown
-	AllowShorterLog bool           // promote a member whose log does not reach Last, instead of waiting longer
+	AllowShorterLog bool           // promote a member whose log does not reach FinalPosition, instead of waiting longer
+	AllowDraining   bool           // promote a draining member if no other has all acknowledged commits, instead of waiting longer
+	DrainingAfter   time.Duration  // a member that has been draining since before this time cannot be replaced in time
 }
 
 // knownToUnreachable reports whether each unreachable instance knows a member. If it does,
@@ -28,6 +30,22 @@
 	return m.Since < s.KnownBefore || m.Revision > 0 && m.Revision <= s.SeenRevision
 }
 
+// isKnown reports whether the member is known to all instances that may use the old primary.
+func (s Selection) isKnown(m topology.Member) bool { return !s.Unreached || s.knownToUnreachable(m) }
+
+// inService reports whether a replica can be promoted and stay the primary.
+func (s Selection) inService(m memberStatus) bool {
+	return !m.member.Draining && s.isKnown(m.member)
+}
+
+// leadsUntilDrained reports whether a replica that drains can be promoted, and be replaced
+// before its drain ends.
+func (s Selection) leadsUntilDrained(m memberStatus) bool {
+	return s.AllowDraining && m.member.Draining && m.member.DrainingSince >= s.DrainingAfter && s.isKnown(m.member) && !m.status.Primary
+}
+
+func anyReplica(memberStatus) bool { return true }
+
 // Select returns the member that should be primary, or false if that cannot be decided from
 // these answers:
 //
@@ -37,6 +55,8 @@
 //     it does not drain.
 //   - Otherwise the replica with the longest log is chosen, if it does not drain and the
 //     criteria in s allow it.
+//   - If the group replicates synchronously, a member is chosen only if its log contains each
+//     acknowledged commit. If no other member has them all, that can be one that drains.
 //
 // A member that is still primary in an earlier term missed its successor's promotion and
 // counts as a replica. It is returned with Primary unset and must be promoted first. While
@@ -44,39 +64,80 @@
 // know can be promoted, because they ask only the members that they know whether one was
 // promoted.
 func Select(answers []memberStatus, s Selection) (memberStatus, bool) {
-	var best *memberStatus
-	replicas := 0
-	for _, answer := range answers {
-		candidate := &answer
-		candidate.status.Primary = candidate.status.Primary && candidate.status.Term >= s.Term
-		if candidate.status.Primary && (candidate.status.Term > s.Term || candidate.member.ID == s.OldPrimary && !s.Planned && !candidate.member.Draining) {
-			if best == nil || !best.status.Primary || best.status.Term < candidate.status.Term {
-				best = candidate
-			}
-			continue
+	if primary, ok := s.findPrimary(answers); ok {
+		return primary, true
+	}
+	replicas := s.replicas(answers)
+	if s.SyncReplicas == 0 {
+		required := s.FinalPosition
+		if s.AllowShorterLog {
+			required = group.Position{}
 		}
-		if candidate.member.ID == s.OldPrimary && s.Planned {
-			continue
+		return longestLog(replicas, required, s.inService)
+	}
+	required, known := s.acknowledgedUpTo(replicas)
+	if !known {
+		return memberStatus{}, false // a replica that did not answer may hold acknowledged commits
+	}
+	if best, found := longestLog(replicas, required, s.inService); found {
+		return best, true
+	}
+	return longestLog(replicas, required, s.leadsUntilDrained)
+}
+
+// findPrimary returns the member with the newest term that is primary and need not be
+// replaced.
+func (s Selection) findPrimary(answers []memberStatus) (memberStatus, bool) {
+	var best memberStatus
+	for _, m := range answers {
+		promoted := m.status.Term > s.Term
+		stays := m.status.Term == s.Term && m.member.ID == s.OldPrimary && !s.Planned && !m.member.Draining
+		if m.status.Primary && (promoted || stays) && m.status.Term > best.status.Term {
+			best = m
 		}
-		replicas++
-		if best != nil && best.status.Primary || candidate.member.Draining || s.Unreached && !s.knownToUnreachable(candidate.member) {
+	}
+	return best, best.status.Primary
+}
+
+// replicas returns the members that answered and count as replicas. The old primary of a
+// planned change does not, because it must not be promoted again.
+func (s Selection) replicas(answers []memberStatus) []memberStatus {
+	var replicas []memberStatus
+	for _, m := range answers {
+		if m.member.ID == s.OldPrimary && s.Planned {
 			continue
 		}
-		if best == nil || best.status.Received.Less(candidate.status.Received) {
-			best = candidate
+		m.status.Primary = m.status.Primary && m.status.Term >= s.Term
+		replicas = append(replicas, m)
+	}
+	return replicas
+}
+
+// longestLog returns the first of the members with the longest log among those that are
+// eligible and whose log reaches the required position, or false if none does.
+func longestLog(members []memberStatus, required group.Position, eligible func(memberStatus) bool) (memberStatus, bool) {
+	var best memberStatus
+	found := false
+	for _, m := range members {
+		if eligible(m) && m.status.Received.AtLeast(required) && (!found || best.status.Received.Less(m.status.Received)) {
+			best, found = m, true
 		}
 	}
+	return best, found
+}
+
+// acknowledgedUpTo returns a position such that each log that reaches it contains all
+// acknowledged commits, or false if that is unknown. It is the end of the old primary's log,
+// or the longest log among enough replicas that each acknowledged commit is in one of them.
+// Replicas count here whether or not they can be promoted.
+func (s Selection) acknowledgedUpTo(replicas []memberStatus) (group.Position, bool) {
+	longest, _ := longestLog(replicas, group.Position{}, anyReplica)
+	enough := len(replicas) >= s.Replicas-s.SyncReplicas+1
 	switch {
-	case best == nil:
-		return memberStatus{}, false
-	case best.status.Primary:
-		return *best, true
-	case s.SyncReplicas > 0 && replicas < s.Replicas-s.SyncReplicas+1 && best.status.Received.Less(s.FinalPosition):
-		return memberStatus{}, false // a replica that did not answer may hold acknowledged commits
-	case s.SyncReplicas > 0 && s.FinalPosition.IsZero() && replicas < s.Replicas-s.SyncReplicas+1:
-		return memberStatus{}, false
-	case best.status.Received.Less(s.FinalPosition) && !s.AllowShorterLog:
-		return memberStatus{}, false
+	case !s.FinalPosition.IsZero() && !(enough && s.AllowShorterLog):
+		return s.FinalPosition, true
+	case enough:
+		return longest.status.Received, true
 	}
-	return *best, true
+	return group.Position{}, false
 }
--- a/internal/lead/select_test.go
+++ b/internal/lead/select_test.go
@@ -37,6 +37,19 @@
 	hurried.AllowShorterLog = true
 	synced := base
 	synced.SyncReplicas = 1
+	syncDraining := synced
+	syncDraining.AllowDraining, syncDraining.DrainingAfter = true, 5
+	syncPlanned := synced
+	syncPlanned.Planned, syncPlanned.FinalPosition = true, group.Position{Term: 1, Index: 9}
+	syncHurried := syncPlanned
+	syncHurried.AllowShorterLog, syncHurried.AllowDraining = true, true
+	syncUnreached := synced
+	syncUnreached.Unreached, syncUnreached.KnownBefore = true, 8
+	drainingSince := func(f memberStatus, at time.Duration) memberStatus {
+		f = draining(f)
+		f.member.DrainingSince = at
+		return f
+	}
 	unreached := base
 	unreached.Unreached, unreached.KnownBefore = true, 8
 	second := Selection{OldPrimary: "gone", Term: 2, Replicas: 2}
@@ -69,6 +82,19 @@
 		"a new member that is already primary":                 {[]memberStatus{replica("a", 3), since(primary("b", 2), 9)}, unreached, "b"},
 		"a missing replica may hold acknowledged":              {[]memberStatus{replica("a", 8)}, synced, ""},
 		"all replicas answered":                                {[]memberStatus{replica("a", 8), replica("b", 7)}, synced, "a"},
+
+		"sync: only a draining replica has all commits":             {[]memberStatus{replica("a", 3), drainingSince(replica("b", 5), 5)}, syncDraining, "b"},
+		"sync: it has been draining for too long":                   {[]memberStatus{replica("a", 3), drainingSince(replica("b", 5), 4)}, syncDraining, ""},
+		"sync: the others may still receive the commits":            {[]memberStatus{replica("a", 3), drainingSince(replica("b", 5), 5)}, synced, ""},
+		"sync: the draining replica is not needed":                  {[]memberStatus{replica("a", 5), drainingSince(replica("b", 5), 5)}, syncDraining, "a"},
+		"sync: the draining replica alone":                          {[]memberStatus{drainingSince(replica("b", 5), 5)}, syncDraining, ""},
+		"sync: the longest log is unknown to some instance":         {[]memberStatus{replica("a", 3), since(replica("b", 5), 9)}, syncUnreached, ""},
+		"sync: the old primary drains and is a replica now":         {[]memberStatus{replica("a", 8), draining(replica("old", 9))}, synced, ""},
+		"sync: planned, a draining replica may be ahead":            {[]memberStatus{replica("a", 8), draining(replica("b", 9))}, syncPlanned, ""},
+		"sync: planned, only a draining replica has all":            {[]memberStatus{replica("a", 8), draining(replica("b", 9))}, syncHurried, "b"},
+		"sync: planned, the last writes were never acknowledged":    {[]memberStatus{replica("a", 8), replica("b", 7)}, syncHurried, "a"},
+		"sync: planned, a replica is missing and the other behind":  {[]memberStatus{replica("a", 8)}, syncHurried, ""},
+		"sync: planned, a replica is missing and the other has all": {[]memberStatus{replica("a", 9)}, syncPlanned, "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got, decided := Select(c.answers, c.s)
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -68,8 +68,9 @@
 	// its earlier data and state. 0: the member does not report it.
 	Incarnation int64
 
-	Revision int64         // store revision of the entry's last change
-	Since    time.Duration // time from which the entry has been present without interruption
+	Revision      int64         // store revision of the entry's last change
+	Since         time.Duration // time from which the entry has been present without interruption
+	DrainingSince time.Duration // time from which the entry is known to say that the member drains; valid while Draining
 }
 
 // Snapshot is an immutable view of the topology at one time. Snapshots share unchanged parts, so
@@ -206,6 +207,12 @@
 	if m.Since = known.Since; !ok || missing || known.Incarnation != m.Incarnation || listed && known.Revision != m.Revision {
 		m.Since = now
 	}
+	switch m.DrainingSince = 0; {
+	case m.Draining && known.Draining && known.Incarnation == m.Incarnation:
+		m.DrainingSince = known.DrainingSince
+	case m.Draining:
+		m.DrainingSince = now
+	}
 	if ok && known == m && !missing {
 		return false
 	}
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -61,6 +61,29 @@
 	must.Eq(t, 6, since(), must.Sprint("the entry had vanished"))
 }
 
+// DrainingSince is the time of the first entry that said so, also if the entry vanished or was
+// rewritten meanwhile.
+func TestMemberDrainingSince(t *testing.T) {
+	s := New(time.Second, time.Minute)
+	since := func() time.Duration { return member(s, "a").DrainingSince }
+	entry := Member{ID: "a", Group: "g", Revision: 1}
+	s.SetMember(1, entry, false)
+	must.Zero(t, since())
+	entry.Draining, entry.Revision = true, 2
+	s.SetMember(2, entry, false)
+	must.Eq(t, 2, since())
+	s.MarkMissing(3, "a")
+	entry.Revision = 3
+	s.SetMember(4, entry, true)
+	must.Eq(t, 2, since())
+	entry.Incarnation = 1
+	s.SetMember(5, entry, false)
+	must.Eq(t, 5, since(), must.Sprint("another process"))
+	entry.Draining = false
+	s.SetMember(6, entry, false)
+	must.Zero(t, since())
+}
+
 // A member that was restarted under its ID counts as new: it has been present since the restart.
 func TestRestartedMemberCountsAsNew(t *testing.T) {
 	s := New(time.Second, time.Minute)
