lead: count replicas correctly when the primary's entry is gone

Callers would see: acknowledged writes lost in a service with sync-replicas 1, if the dead primary's entry has vanished and one replica does not answer.

Cause: the number of replicas was len(members)-1. Without the primary's entry the members are the replicas only, so that one replica was subtracted and a single answer counted as enough.

Change: Selection.forGroup counts the members other than the recorded primary.

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -334,9 +334,8 @@
 	for {
 		members := c.env.Topology().MembersOf(name)
 		answers := c.queryMembers(ctx, members, record.Primary)
-		s := c.selection(grants)
-		s.OldPrimary, s.Term, s.Planned = record.Primary, record.Term, change.Planned
-		s.Replicas, s.SyncReplicas = len(members)-1, c.env.Topology().Groups[name].SyncReplicas
+		s := c.selection(grants).forGroup(members, record, c.env.Topology().Groups[name])
+		s.Planned = change.Planned
 		s.AllowDraining, s.DrainingAfter = c.now() >= allowDrainingAt, c.now()-c.drainTimeout+drainingLeadTime
 		strict := s // prefer a member that all instances know, if it has the whole log
 		strict.Unreached = grants.unreachable
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -30,6 +30,19 @@
 	return m.Since < s.KnownBefore || m.Revision > 0 && m.Revision <= s.SeenRevision
 }
 
+// forGroup returns the criteria with what follows from the group's record, declaration and
+// members.
+func (s Selection) forGroup(members []topology.Member, record Record, declared topology.Group) Selection {
+	s.OldPrimary, s.Term, s.SyncReplicas = record.Primary, record.Term, declared.SyncReplicas
+	s.Replicas = 0
+	for _, m := range members {
+		if m.ID != record.Primary { // its entry may be gone
+			s.Replicas++
+		}
+	}
+	return s
+}
+
 // isKnown reports whether the member is known to all instances that may use the old primary.
 func (s Selection) isKnown(m topology.Member) bool { return !s.Unreached || s.knownToUnreachable(m) }
 
--- a/internal/lead/sync_replicas_test.go
+++ b/internal/lead/sync_replicas_test.go
@@ -99,3 +99,18 @@
 	must.Eq(t, "m3", record.Primary)
 	s.mustKeepAll()
 }
+
+// Guards against the loss of acknowledged commits when the entry of the dead primary has
+// vanished: it must not be subtracted from the replicas that may hold them.
+func TestReplicasAreCountedWithoutPrimaryEntry(t *testing.T) {
+	s := newSyncGroup(t)
+	s.SetLagging("m3", true)
+	s.write("m1")
+	s.SetReachability("m1", membergroup.Down)
+	s.SetReachability("m2", membergroup.Down)
+	s.topology.MarkMissing(s.controller.now(), "m1")
+	must.True(t, s.topology.Expire(s.controller.now()))
+	s.env.topology = s.topology.Snapshot()
+	s.controller.startChange(t.Context(), "g", s.state, "the primary's entry is gone", false)
+	must.SliceEmpty(t, s.Promotions(), must.Sprint("m2 does not answer, and may hold acknowledged commits"))
+}
