lead: promote only logs that reach the start of the primary's term

Callers would see: acknowledged writes lost in a service with sync-replicas 1 after two changes of primary, when one replica received nothing in between.

Cause: enough answers show that each commit of the current term is in one of the logs. Commits of earlier terms were acknowledged by other members; they are for certain only in the log with which the primary began its term.

Change: the record keeps the end of that log (term_start, absent until the first promotion); a log counts as complete only if it reaches it. A leader of an older version drops the field, and the check is as before then.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -10,8 +10,8 @@
 
 // Position is a position in the log of a group. One of a later term is always greater.
 type Position struct {
-	Term  uint64 // term under which the entry was written
-	Index uint64 // index of the entry, counted from 1 across all terms
+	Term  uint64 `json:"term"`  // term under which the entry was written
+	Index uint64 `json:"index"` // index of the entry, counted from 1 across all terms
 }
 
 // Less reports whether p is before q.
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -286,7 +286,7 @@
 		return nil, err
 	}
 	if candidateStatus.Primary {
-		record.Primary, record.Term = candidate.ID, candidateStatus.Term
+		record = record.afterPromotion(candidate.ID, candidateStatus.Term, candidateStatus.Received)
 		return &outcome{record: record, revision: revision}, nil
 	}
 	if g.inheritedChange == change.ID && c.now()-g.tookOverAt < inheritedPromotionTimeout {
@@ -304,8 +304,7 @@
 	if err != nil {
 		return nil, err
 	}
-	record.Primary, record.Term = candidate.ID, status.Term
-	return &outcome{record: record, revision: revision}, nil
+	return &outcome{record: record.afterPromotion(candidate.ID, status.Term, candidateStatus.Received), revision: revision}, nil
 }
 
 // promote asks the platform to make a member the primary and waits until it is.
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -44,6 +44,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/placement"
 )
 
@@ -90,6 +91,20 @@
 	Primary    string  `json:"primary"` // member ID; empty: not known yet
 	Term       uint64  `json:"term"`    // term in which Primary is the primary
 	Change     *Change `json:"change,omitempty"`
+
+	// TermStart is the end of Primary's log when it was promoted. It contains each commit
+	// that was acknowledged in an earlier term. Zero: unknown.
+	TermStart group.Position `json:"term_start,omitzero"`
+}
+
+// afterPromotion returns the record with a member as the primary of a term that it began at a
+// log position. It returns the record unchanged if that member was the primary already.
+func (r Record) afterPromotion(primary string, term uint64, start group.Position) Record {
+	if r.Primary == primary && r.Term == term {
+		return r
+	}
+	r.Primary, r.Term, r.TermStart = primary, term, start
+	return r
 }
 
 func encode(v any) []byte {
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -12,6 +12,7 @@
 type Selection struct {
 	OldPrimary      string         // ID of the primary that is to be replaced
 	Term            uint64         // term of the old primary
+	TermStart       group.Position // end of the old primary's log when it was promoted; zero: unknown
 	Planned         bool           // the old primary must be replaced although it is healthy
 	FinalPosition   group.Position // end of the old primary's log when it stepped down; zero: unknown
 	Replicas        int            // number of replicas of the group
@@ -33,7 +34,7 @@
 // forGroup returns the criteria with what follows from the group's record, declaration and
 // members.
 func (s Selection) forGroup(members []topology.Member, record Record, declared topology.Group) Selection {
-	s.OldPrimary, s.Term, s.SyncReplicas = record.Primary, record.Term, declared.SyncReplicas
+	s.OldPrimary, s.Term, s.TermStart, s.SyncReplicas = record.Primary, record.Term, record.TermStart, declared.SyncReplicas
 	s.Replicas = 0
 	for _, m := range members {
 		if m.ID != record.Primary { // its entry may be gone
@@ -141,11 +142,12 @@
 
 // acknowledgedUpTo returns a position such that each log that reaches it contains all
 // acknowledged commits, or false if that is unknown. It is the end of the old primary's log,
-// or the longest log among enough replicas that each acknowledged commit is in one of them.
-// Replicas count here whether or not they can be promoted.
+// or the longest log among enough replicas that each commit acknowledged in its term is in
+// one of them, if that log also contains the commits of earlier terms. Replicas count here
+// whether or not they can be promoted.
 func (s Selection) acknowledgedUpTo(replicas []memberStatus) (group.Position, bool) {
 	longest, _ := longestLog(replicas, group.Position{}, anyReplica)
-	enough := len(replicas) >= s.Replicas-s.SyncReplicas+1
+	enough := len(replicas) >= s.Replicas-s.SyncReplicas+1 && longest.status.Received.AtLeast(s.TermStart)
 	switch {
 	case !s.FinalPosition.IsZero() && !(enough && s.AllowShorterLog):
 		return s.FinalPosition, true
--- a/internal/lead/select_test.go
+++ b/internal/lead/select_test.go
@@ -43,6 +43,7 @@
 	syncPlanned.Planned, syncPlanned.FinalPosition = true, group.Position{Term: 1, Index: 9}
 	syncHurried := syncPlanned
 	syncHurried.AllowShorterLog, syncHurried.AllowDraining = true, true
+	syncSecond := Selection{OldPrimary: "gone", Term: 2, TermStart: group.Position{Term: 1, Index: 5}, Replicas: 1, SyncReplicas: 1}
 	syncUnreached := synced
 	syncUnreached.Unreached, syncUnreached.KnownBefore = true, 8
 	drainingSince := func(f memberStatus, at time.Duration) memberStatus {
@@ -90,6 +91,8 @@
 		"sync: the draining replica alone":                          {[]memberStatus{drainingSince(replica("b", 5), 5)}, syncDraining, ""},
 		"sync: the longest log is unknown to some instance":         {[]memberStatus{replica("a", 3), since(replica("b", 5), 9)}, syncUnreached, ""},
 		"sync: the old primary drains and is a replica now":         {[]memberStatus{replica("a", 8), draining(replica("old", 9))}, synced, ""},
+		"sync: the log ends before the term began":                  {[]memberStatus{replica("a", 4)}, syncSecond, ""},
+		"sync: the log ends where the term began":                   {[]memberStatus{replica("a", 5)}, syncSecond, "a"},
 		"sync: planned, a draining replica may be ahead":            {[]memberStatus{replica("a", 8), draining(replica("b", 9))}, syncPlanned, ""},
 		"sync: planned, only a draining replica has all":            {[]memberStatus{replica("a", 8), draining(replica("b", 9))}, syncHurried, "b"},
 		"sync: planned, the last writes were never acknowledged":    {[]memberStatus{replica("a", 8), replica("b", 7)}, syncHurried, "a"},
