fleet: log the sessions that are left at each step of a planned stop

The log showed neither how many statements were running when the drain ended nor how many were still unanswered when the process did, so a cut statement could be the client's, the drain's or the exit's.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -355,7 +355,17 @@
 	}
 	i.clients.CloseListener()
 	i.clients.Drain(halfGrace)
+	i.logActive("drained")
 	i.close()
+	i.logActive("closed")
+}
+
+// logActive logs the sessions that are left at a step of a planned stop.
+func (i *Instance) logActive(step string) {
+	active := i.clients.Active()
+	i.part("instance").WithFields(logrus.Fields{
+		"step": step, "running": active.Running, "in_transaction": active.InTx, "idle": active.Idle,
+	}).Info("instance: sessions left in a planned stop")
 }
 
 // probeRemovalTime is how long the platform keeps sending clients to an instance that is not ready:
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -272,6 +272,33 @@
 	return len(s.clients)
 }
 
+// ActiveSessions is the number of sessions that a drain still waits for, by what they do.
+type ActiveSessions struct {
+	Running int // a statement is being served
+	InTx    int // idle in a transaction
+	Idle    int // idle outside a transaction
+}
+
+// Active returns the number of sessions, by what they do.
+func (s *Server) Active() ActiveSessions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var active ActiveSessions
+	for c := range s.clients {
+		c.mu.Lock()
+		switch {
+		case c.busy:
+			active.Running++
+		case c.inTx:
+			active.InTx++
+		default:
+			active.Idle++
+		}
+		c.mu.Unlock()
+	}
+	return active
+}
+
 // Drain ends all sessions: idle ones at once, others after their statement. Open transactions may
 // go on until they end or ctx is done.
 func (s *Server) Drain(ctx context.Context) {
