fleet: answer running statements before the process ends at a planned stop

Cause: Drain returned at half of the grace period, also while statements were running; close then cut the members' connections, and the process ended without waiting for the handlers, which had an answer to send. Instance.done counts the goroutines that accept clients only.

Change: the steps of a stop have their own bounds. Open transactions end at half of the grace period: idle ones are rolled back, and so is one whose next statement is not its COMMIT or ROLLBACK, with ABORTED as the answer. Running statements are awaited until 5/6. What is left is aborted then: waits are refused (the instance is stopping), member connections are cut, and the process waits for the last answers until 11/12. Clients are counted from their acceptance on. It works because the process ends only when no handler is left, and each handler leaves after its answer.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -341,23 +341,43 @@
 	}
 }
 
-// Stop stops the instance in an orderly way. It returns within the platform's grace period.
+// Parts of the grace period by which the steps of a planned stop end.
+const (
+	transactionShare = 1.0 / 2   // open transactions; the rest are rolled back
+	statementShare   = 5.0 / 6   // running statements; the rest get their final answer without the member's
+	answerShare      = 11.0 / 12 // the last answers
+)
+
+// Stop stops the instance in an orderly way. It returns within the platform's grace period, and
+// not before each statement that was read from a client has been answered, provided that clients
+// read their answers.
 func (i *Instance) Stop() {
+	began := time.Now()
+	step := func(share float64) (context.Context, context.CancelFunc) {
+		return context.WithDeadline(context.Background(), began.Add(time.Duration(share*float64(i.settings.Grace))))
+	}
+	transactions, cancel := step(transactionShare)
+	defer cancel()
+	statements, cancel := step(statementShare)
+	defer cancel()
+	answers, cancel := step(answerShare)
+	defer cancel()
 	i.stopping.Store(true)
 	i.part("instance").WithField("callers", i.clients.NumClients()).Info("instance: planned stop")
-	halfGrace, cancel := context.WithTimeout(context.Background(), i.settings.Grace/2)
-	defer cancel()
-	i.deregister(halfGrace)
+	i.deregister(transactions)
 	i.carrier.Stop()
 	select {
 	case <-time.After(min(probeRemovalTime, i.settings.Grace/3)):
-	case <-halfGrace.Done():
+	case <-transactions.Done():
 	}
 	i.clients.CloseListener()
-	i.clients.Drain(halfGrace)
+	i.clients.Drain(transactions, statements)
 	i.logActive("drained")
+	i.clients.AbortStatements()
+	i.upstreams.Close()
+	i.clients.AwaitSessions(answers)
+	i.logActive("answered")
 	i.close()
-	i.logActive("closed")
 }
 
 // logActive logs the sessions that are left at a step of a planned stop.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -102,8 +102,10 @@
 		case unknownOutcome:
 			return a.answerUnknown()
 		}
-		if a.clientDisconnected() {
-			a.session.relay.recordDisconnect(a.route.Database, "here", a.now()-a.arrived)
+		if a.isCancelled() {
+			if !a.isStopping() {
+				a.session.relay.recordDisconnect(a.route.Database, "here", a.now()-a.arrived)
+			}
 			return a.refuse()
 		}
 		if a.atLimit || !a.shouldRetry() {
--- a/internal/relay/carrier_streams.go
+++ b/internal/relay/carrier_streams.go
@@ -271,7 +271,7 @@
 	if err := s.send(req); err != nil {
 		s.cancel()
 		if ctx.Err() != nil {
-			return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotAccepted, errClientDisconnected)
+			return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotAccepted, context.Cause(ctx))
 		}
 		return nil, fmt.Errorf("carrier at %s: %w: %w", s.address, errNotAccepted, err)
 	}
@@ -279,7 +279,7 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		s.cancel()
-		return nil, fmt.Errorf("carrier at %s: %w", s.address, errClientDisconnected)
+		return nil, fmt.Errorf("carrier at %s: %w", s.address, context.Cause(ctx))
 	case err != nil:
 		s.cancel()
 		s.conns.recordResult(s.address, false)
--- a/internal/relay/disconnect.go
+++ b/internal/relay/disconnect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -19,26 +20,26 @@
 
 	mu     sync.Mutex // guards the fields below
 	conn   ClientConn // nil: the statement has ended
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
 // disconnectWatchPool holds unused watches for reuse.
 var disconnectWatchPool = sync.Pool{New: func() any { return &disconnectWatch{} }}
 
-// watchDisconnect returns a context that is cancelled when a client disconnects. end must be called
-// when the statement has ended.
-func watchDisconnect(conn ClientConn) (ctx context.Context, end func()) {
+// watchDisconnect returns a context that is cancelled when a client disconnects, and a function
+// that cancels it for another cause. end must be called when the statement has ended.
+func watchDisconnect(conn ClientConn) (ctx context.Context, cancel context.CancelCauseFunc, end func()) {
 	w := disconnectWatchPool.Get().(*disconnectWatch)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ctx, w.cancel = context.WithCancel(context.Background())
+	ctx, w.cancel = context.WithCancelCause(context.Background())
 	w.conn = conn
 	if w.timer == nil {
 		w.timer = time.AfterFunc(disconnectPollInterval, w.poll)
 	} else {
 		w.timer.Reset(disconnectPollInterval)
 	}
-	return ctx, w.end
+	return ctx, w.cancel, w.end
 }
 
 func (w *disconnectWatch) poll() {
@@ -47,7 +48,7 @@
 	switch {
 	case w.conn == nil:
 	case w.conn.PeerClosed():
-		w.cancel()
+		w.cancel(errClientDisconnected)
 	default:
 		w.timer.Reset(disconnectPollInterval)
 	}
@@ -56,7 +57,7 @@
 func (w *disconnectWatch) end() {
 	w.mu.Lock()
 	stopped := w.timer.Stop()
-	w.cancel()
+	w.cancel(nil)
 	w.conn, w.cancel = nil, nil
 	w.mu.Unlock()
 	if stopped { // otherwise poll may still run; the watch is not reused
@@ -67,15 +68,22 @@
 // disconnectReason is the reason for not running a statement whose client has disconnected.
 const disconnectReason = "its caller has gone"
 
-// clientDisconnected reports whether the client has disconnected, and if so sets the reason.
-func (a *attempt) clientDisconnected() bool {
+// isCancelled reports whether the statement is not to be run any more, and if so sets the reason:
+// the client has disconnected, or the instance is stopping.
+func (a *attempt) isCancelled() bool {
 	if a.ctx.Err() == nil {
 		return false
 	}
 	a.reason = disconnectReason
+	if a.isStopping() {
+		a.reason = errStopping.Error()
+	}
 	return true
 }
 
+// isStopping reports whether the statement was cancelled because the instance is stopping.
+func (a *attempt) isStopping() bool { return errors.Is(context.Cause(a.ctx), errStopping) }
+
 // recordDisconnect counts and logs a statement that was dropped because its client had
 // disconnected.
 func (r *Relay) recordDisconnect(database, where string, waited time.Duration) {
--- a/internal/relay/disconnect_test.go
+++ b/internal/relay/disconnect_test.go
@@ -245,7 +245,7 @@
 	c := &fakeClient{}
 	b.ReportAllocs()
 	for b.Loop() {
-		_, end := watchDisconnect(c)
+		_, _, end := watchDisconnect(c)
 		end()
 	}
 }
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -52,7 +52,7 @@
 // answer until timeout.
 func (a *attempt) runAt(ctx context.Context, t target, waitUntil, timeout time.Duration) (statement.Answer, outcome) {
 	relay, upstream := a.session.relay, t.upstream
-	if a.clientDisconnected() || !a.maySend() {
+	if a.isCancelled() || !a.maySend() {
 		return statement.Answer{}, noConnection
 	}
 	a.lastMember, a.lastMinPosition = upstream.id, t.minPosition
@@ -85,8 +85,8 @@
 		a.reason = err.Error()
 		return statement.Answer{}, noConnection
 	}
-	if a.clientDisconnected() || a.token.Expired(a.now()) && !a.spendAnotherToken() {
-		conn.release() // the client has disconnected, or the token expired in the queue and there is no other
+	if a.isCancelled() || a.token.Expired(a.now()) && !a.spendAnotherToken() {
+		conn.release() // it was cancelled, or the token expired in the queue and there is no other
 		return statement.Answer{}, noConnection
 	}
 	sentAt := a.now()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -66,12 +66,12 @@
 	reply, err := stream.roundTrip(ctx, s.encodeRequest(st, arrived), remaining+replyMargin)
 	switch {
 	case errors.Is(err, errNotAccepted):
-		if !errors.Is(err, errClientDisconnected) {
+		if !isCancellation(err) {
 			s.relay.waitForecasts.forget(carrier.Address)
 		}
 		return notForwarded(err), true
 	case err != nil:
-		if !errors.Is(err, errClientDisconnected) {
+		if !isCancellation(err) {
 			s.relay.waitForecasts.forget(carrier.Address)
 		}
 		s.recordLostReply(st, carrier.Name, arrived, err)
@@ -89,6 +89,12 @@
 	return s.finishForwarded(st, stream, route, reply), false
 }
 
+// isCancellation reports whether a statement was cancelled here, so that the error says nothing
+// about the carrier.
+func isCancellation(err error) bool {
+	return errors.Is(err, errClientDisconnected) || errors.Is(err, errStopping)
+}
+
 // notForwarded is the answer to a statement that no carrier has run.
 func notForwarded(err error) statement.Answer {
 	answer := statement.Failure(statement.Idle, statement.Busy, "not run: %v", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,7 +183,9 @@
 func (r *Relay) recordRefusal(a *attempt, retryAfter time.Duration) {
 	waited, reason := r.now()-a.arrived, "held"
 	switch {
-	case a.clientDisconnected():
+	case a.isCancelled() && a.isStopping():
+		reason = "stopping"
+	case a.isCancelled():
 		reason = "caller_left"
 	case a.hasVerdict && !a.verdict.Admit:
 		reason = a.verdict.Reason.String()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,19 +69,35 @@
 
 	mu       sync.Mutex // guards the fields below
 	clients  map[*clientHandler]struct{}
-	draining bool // sessions end as soon as they are idle
+	phase    stopPhase
 	listener net.Listener
+	served   chan struct{} // closed when Serve has returned; nil before it
 }
 
+// stopPhase is the progress of a planned stop.
+type stopPhase int
+
+const (
+	notStopping        stopPhase = iota
+	draining                     // sessions end as soon as they are idle outside a transaction
+	endingTransactions           // open transactions are rolled back, unless their COMMIT arrives or is running
+	abortingStatements           // statements that are not running get their final answer now
+)
+
+// errStopping is the reason for not running a statement while the instance stops.
+var errStopping = errors.New("the instance is stopping")
+
 // clientHandler serves the connection of one client.
 type clientHandler struct {
 	server  *Server
 	conn    ClientConn
 	session *session
 
-	mu   sync.Mutex // guards the fields below
-	busy bool       // a statement is being served
-	inTx bool
+	mu       sync.Mutex // guards the fields below
+	starting bool       // the startup request has not been served
+	busy     bool       // a statement is being served
+	inTx     bool
+	cancel   context.CancelCauseFunc // ends the waits of the statement that is being served; nil: none is
 }
 
 // NewServer returns a server for at most maxClients concurrent clients.
@@ -93,8 +111,10 @@
 
 // Serve accepts clients until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
 	s.mu.Lock()
-	s.listener = l
+	s.listener, s.served = l, served
 	s.mu.Unlock()
 	for {
 		conn, err := l.Accept()
@@ -117,8 +137,10 @@
 			s.relay.log.WithError(err).Debug("relay: setting TCP keep-alive failed")
 		}
 	}
-	handler := &clientHandler{server: s, conn: s.newClientConn(conn)}
+	handler := &clientHandler{server: s, conn: s.newClientConn(conn), starting: true}
+	s.add(handler)
 	if err := s.pool.Submit(handler.serve); err != nil {
+		s.remove(handler)
 		// Refused without waiting for the startup request, so that the client can connect to
 		// another instance at once.
 		_ = handler.conn.SendRefusal(&statement.Error{Code: statement.Busy, Detail: "too many callers", RetryAfter: defaultRetryAfter})
@@ -126,13 +148,30 @@
 	}
 }
 
+func (s *Server) add(c *clientHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clients[c] = struct{}{}
+}
+
+func (s *Server) remove(c *clientHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.clients, c)
+}
+
 // serve runs the session until the connection ends.
 func (c *clientHandler) serve() {
+	defer c.server.remove(c)
 	defer c.conn.Close()
-	if !c.startSession() {
+	started := c.startSession()
+	c.mu.Lock()
+	c.starting = false
+	c.mu.Unlock()
+	if !started {
 		return
 	}
-	defer c.endSession()
+	defer c.session.endTx()
 	for c.serveNext() {
 	}
 }
@@ -141,7 +180,7 @@
 // has begun.
 func (c *clientHandler) startSession() bool {
 	relay := c.server.relay
-	if c.conn.SetReadDeadline(time.Now().Add(startupTimeout)) != nil {
+	if !c.setStartupDeadline() {
 		return false
 	}
 	startup, err := c.conn.ReadStartup()
@@ -158,17 +197,18 @@
 		return false
 	}
 	c.session = newSession(relay, startup)
-	c.server.mu.Lock()
-	c.server.clients[c] = struct{}{}
-	c.server.mu.Unlock()
 	return c.conn.ConfirmStartup() == nil
 }
 
-func (c *clientHandler) endSession() {
-	c.server.mu.Lock()
-	delete(c.server.clients, c)
-	c.server.mu.Unlock()
-	c.session.endTx()
+// setStartupDeadline sets the deadline for the startup request.
+func (c *clientHandler) setStartupDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timeout := startupTimeout
+	if c.server.currentPhase() != notStopping {
+		timeout = drainInterruptInterval
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(timeout)) == nil
 }
 
 // serveNext serves one statement and reports whether the session goes on.
@@ -193,13 +233,13 @@
 		}
 		return false
 	}
-	c.setBusy(true)
-	ctx, stopWatch := watchDisconnect(c.conn)
+	ctx, cancel, stopWatch := watchDisconnect(c.conn)
+	c.begin(st, cancel)
 	answer := c.session.handle(ctx, st, arrived)
 	stopWatch()
 	ok := c.sendAnswer(answer)
 	c.recordFailure(st, answer, ok)
-	c.setBusy(false)
+	c.finish()
 	return ok
 }
 
@@ -226,12 +266,12 @@
 func (c *clientHandler) setReadDeadline() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	draining := c.server.isDraining()
-	if draining && !c.inTx && c.conn.InputEmpty() {
+	stopping := c.server.currentPhase() != notStopping
+	if stopping && !c.inTx && c.conn.InputEmpty() {
 		return false
 	}
 	var deadline time.Time
-	if draining && !c.inTx {
+	if stopping && !c.inTx {
 		deadline = time.Now().Add(drainInterruptInterval) // lets the client finish a statement that it has begun to send
 	}
 	if limit := c.server.relay.snapshot().Config.IdleInTransaction; c.inTx && limit > 0 {
@@ -243,26 +283,55 @@
 // handleIdleTimeout rolls back the open transaction, if there is one, after the client sent nothing
 // until the read deadline. It reports whether the session goes on.
 func (c *clientHandler) handleIdleTimeout() bool {
-	if c.session.tx != nil || c.session.forwardedTx != nil {
+	switch {
+	case !c.session.hasOpenTx():
+		return true // setReadDeadline ends the session while the server is stopping
+	case c.server.currentPhase() >= endingTransactions:
+		c.session.abandonTx(stoppingDetail)
+	default:
 		c.session.abandonTx("the transaction rested for too long and was rolled back")
 		c.server.relay.recordIdleTransaction(c.session.startup.Database)
-		c.setBusy(false)
-		return true
 	}
-	return true // setReadDeadline ends the session while the server is draining
+	c.updateInTx()
+	return true
+}
+
+// stoppingDetail is the reason for rolling back a transaction in a planned stop.
+const stoppingDetail = "the instance is stopping, and the transaction was rolled back"
+
+// begin records that a statement is being served, whose waits cancel ends. While open transactions
+// are being ended, one that the statement does not end is rolled back.
+func (c *clientHandler) begin(st statement.Statement, cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	c.busy, c.cancel = true, cancel
+	c.mu.Unlock()
+	phase := c.server.currentPhase() // a later one is applied by enter
+	if phase >= endingTransactions && st.Kind != statement.Commit && st.Kind != statement.Rollback {
+		c.session.abandonTx(stoppingDetail)
+	}
+	if phase >= abortingStatements {
+		cancel(errStopping)
+	}
 }
 
-func (c *clientHandler) setBusy(busy bool) {
+// finish records that the statement has been answered.
+func (c *clientHandler) finish() {
+	c.updateInTx()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.cancel = false, nil
+}
+
+func (c *clientHandler) updateInTx() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
 	c.inTx = c.session.state != statement.Idle && c.session.lostReason == ""
 }
 
-func (s *Server) isDraining() bool {
+func (s *Server) currentPhase() stopPhase {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.phase
 }
 
 // NumClients returns the number of connected clients.
@@ -300,51 +369,104 @@
 }
 
 // Drain ends all sessions: idle ones at once, others after their statement. Open transactions may
-// go on until they end or ctx is done.
-func (s *Server) Drain(ctx context.Context) {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
+// go on until transactions is done, then they are rolled back. Running statements are awaited until
+// statements is done. It returns when no session is left, or when statements is done.
+func (s *Server) Drain(transactions, statements context.Context) {
+	s.enter(draining)
 	interrupt := time.NewTicker(drainInterruptInterval)
 	defer interrupt.Stop()
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
-	s.interruptIdle(false)
+	transactionsDone := transactions.Done()
 	for s.NumClients() > 0 {
 		select {
-		case <-ctx.Done():
-			s.interruptIdle(true)
+		case <-statements.Done():
 			return
+		case <-transactionsDone:
+			transactionsDone = nil
+			s.enter(endingTransactions)
 		case <-interrupt.C:
-			s.interruptIdle(false)
+			s.interruptIdle()
 		case <-poll.C:
 		}
 	}
 }
 
-// interruptIdle expires the read deadline of idle sessions, so that they end. A statement that was
-// read completely is always answered.
-func (s *Server) interruptIdle(includeTransactions bool) {
-	s.mu.Lock()
-	clients := make([]*clientHandler, 0, len(s.clients))
-	for c := range s.clients {
-		clients = append(clients, c)
+// AbortStatements ends the waits of all statements that have not been sent to a member. They are
+// refused.
+func (s *Server) AbortStatements() { s.enter(abortingStatements) }
+
+// AwaitSessions waits until all sessions have ended, or ctx is done.
+func (s *Server) AwaitSessions(ctx context.Context) {
+	poll := time.NewTicker(drainPollInterval)
+	defer poll.Stop()
+	for s.NumClients() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+			s.interruptIdle()
+		}
 	}
+}
+
+// enter begins a phase of the planned stop, and applies it to all sessions.
+func (s *Server) enter(phase stopPhase) {
+	s.mu.Lock()
+	s.phase = phase
 	s.mu.Unlock()
-	for _, c := range clients {
+	for _, c := range s.handlers() {
+		c.applyPhase(phase)
+	}
+}
+
+// applyPhase applies a new phase of the planned stop to the session.
+func (c *clientHandler) applyPhase(phase stopPhase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.starting && phase == draining:
+		_ = c.conn.SetReadDeadline(time.Now().Add(drainInterruptInterval)) // a broken connection ends by itself
+	case c.cancel != nil && phase == abortingStatements:
+		c.cancel(errStopping)
+	default:
+		c.interrupt(phase)
+	}
+}
+
+func (s *Server) handlers() []*clientHandler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.clients))
+}
+
+// interruptIdle expires the read deadline of idle sessions, so that they end; while transactions
+// are being ended, also of sessions that are idle in one. A statement that was read completely is
+// always answered.
+func (s *Server) interruptIdle() {
+	phase := s.currentPhase()
+	for _, c := range s.handlers() {
 		c.mu.Lock()
-		if !c.busy && (!c.inTx || includeTransactions) {
-			_ = c.conn.SetReadDeadline(time.Now()) // a broken connection ends by itself
-		}
+		c.interrupt(phase)
 		c.mu.Unlock()
 	}
 }
 
-// CloseListener stops accepting connections.
+// interrupt expires the read deadline if the session is idle. The caller holds mu.
+func (c *clientHandler) interrupt(phase stopPhase) {
+	if !c.starting && !c.busy && (!c.inTx || phase >= endingTransactions) {
+		_ = c.conn.SetReadDeadline(time.Now()) // a broken connection ends by itself
+	}
+}
+
+// CloseListener stops accepting connections. The clients that were accepted before are counted by
+// NumClients when it returns.
 func (s *Server) CloseListener() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close() // an error affects no client
+	listener, served := s.listener, s.served
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close() // an error affects no client
+		<-served
 	}
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -245,10 +245,13 @@
 	s.tx = nil
 }
 
+// hasOpenTx reports whether a transaction is open at a member or a carrier.
+func (s *session) hasOpenTx() bool { return s.tx != nil || s.forwardedTx != nil }
+
 // abandonTx rolls back the open transaction without a request by the client, which gets reason as
 // the answer to its next statement.
 func (s *session) abandonTx(reason string) {
-	if s.tx == nil && s.forwardedTx == nil {
+	if !s.hasOpenTx() {
 		return
 	}
 	s.endTx()
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -371,7 +371,7 @@
 		return nil, ctx.Err()
 	}
 	defer g.mu.Unlock()
-	c := &conn{group: g, member: state, account: account, state: statement.Idle, values: make(map[string]string), prepared: make(map[string]member.Prepared)}
+	c := &conn{group: g, member: state, account: account, cut: make(chan struct{}), state: statement.Idle, values: make(map[string]string), prepared: make(map[string]member.Prepared)}
 	state.conns[c] = struct{}{}
 	return c, nil
 }
@@ -382,7 +382,8 @@
 	member   *memberState
 	account  string // the client account that it was opened for
 	closed   bool
-	frozen   bool // requests on it get no answer; new connections work
+	cut      chan struct{} // closed by Close, which ends the wait of a blocked statement
+	frozen   bool          // requests on it get no answer; new connections work
 	state    statement.State
 	writes   []Write // of the open transaction
 	readOnly bool    // the transaction is read-only
@@ -420,7 +421,11 @@
 	if b := c.member.block; b != nil {
 		c.group.mu.Unlock()
 		b.reached <- struct{}{}
-		<-b.released
+		select {
+		case <-b.released:
+		case <-c.cut:
+			return statement.Answer{}, fmt.Errorf("%w: closed", member.ErrBroken)
+		}
 		c.group.mu.Lock()
 	}
 	answer := c.run(req)
@@ -600,6 +605,9 @@
 func (c *conn) Close() {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
+	if !c.closed {
+		close(c.cut)
+	}
 	c.closed = true
 	delete(c.member.conns, c)
 }
