fleet: drain forwarded statements at a planned stop

Callers would see: when a carrier is stopped, transactions that other instances have open there are rolled back 2 s after SIGTERM instead of at half of the grace period, and running writes become INDOUBT although the member answers.

Stop waited for its own clients only; a carrier without any closed as soon as probes had taken it out, and grpc.Server.Stop ended the streams of forwarded statements.

Change: CarrierServer counts running statements and open transactions and runs the same phases of a stop as the server for clients (relay/stop.go). Idle transactions are rolled back concurrently, since a member may not answer. Replies get 0.1 s to leave before the streams are ended.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -349,8 +349,8 @@
 )
 
 // Stop stops the instance in an orderly way. It returns within the platform's grace period, and
-// not before each statement that was read from a client has been answered, provided that clients
-// read their answers.
+// not before each statement that was read from a client or forwarded by another instance has been
+// answered, provided that the answers are read.
 func (i *Instance) Stop() {
 	began := time.Now()
 	step := func(share float64) (context.Context, context.CancelFunc) {
@@ -371,20 +371,44 @@
 	case <-transactions.Done():
 	}
 	i.clients.CloseListener()
-	i.clients.Drain(transactions, statements)
+	var drains sync.WaitGroup
+	drains.Go(func() { i.clients.Drain(transactions, statements) })
+	drains.Go(func() { i.carrier.Drain(transactions, statements) })
+	drains.Wait()
 	i.logActive("drained")
-	i.clients.AbortStatements()
-	i.upstreams.Close()
-	i.clients.AwaitSessions(answers)
+	i.abortWork(answers)
 	i.logActive("answered")
+	i.stopPeers()
 	i.close()
 }
 
+// abortWork gives the statements that are left their final answers, and waits until these are sent
+// or ctx is done.
+func (i *Instance) abortWork(ctx context.Context) {
+	i.clients.AbortStatements()
+	i.carrier.AbortStatements()
+	i.upstreams.Close()
+	i.clients.AwaitSessions(ctx)
+	i.carrier.AwaitSessions(ctx)
+}
+
+// peerFlushTimeout is how long replies that have been sent to other instances get to leave. Streams
+// that the others keep open do not end by themselves.
+const peerFlushTimeout = 100 * time.Millisecond
+
+// stopPeers ends the service for other instances after the replies that have been sent.
+func (i *Instance) stopPeers() {
+	timer := time.AfterFunc(peerFlushTimeout, i.peers.Stop)
+	defer timer.Stop()
+	i.peers.GracefulStop()
+}
+
 // logActive logs the sessions that are left at a step of a planned stop.
 func (i *Instance) logActive(step string) {
-	active := i.clients.Active()
+	active, forwarded := i.clients.Active(), i.carrier.Active()
 	i.part("instance").WithFields(logrus.Fields{
 		"step": step, "running": active.Running, "in_transaction": active.InTx, "idle": active.Idle,
+		"forwarded_running": forwarded.Running, "forwarded_in_transaction": forwarded.InTx,
 	}).Info("instance: sessions left in a planned stop")
 }
 
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"regexp"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -45,6 +48,7 @@
 	reached, release := f.group.BlockStatements("m1")
 	running.send("READ 1")
 	<-reached
+	f.instances[0].settings.Grace = 12 * time.Second // 4 s between the end of transactions and that of statements
 	left := make(chan relay.ActiveSessions)
 	go func() {
 		f.instances[0].Stop()
@@ -118,9 +122,8 @@
 	<-reached
 	f.eventually("all writes were read", func() bool { return f.instances[0].clients.Active().Idle == 0 })
 	drainInstance(t, f.instances[0])
-	f.instances[0].clients.AbortStatements()
-	f.instances[0].upstreams.Close()
-	f.instances[0].clients.AwaitSessions(t.Context())
+	f.instances[0].abortWork(t.Context())
+	must.Eq(t, relay.ActiveSessions{}, f.instances[0].clients.Active())
 	tx.mustRead("ERROR ABORTED", "I")
 	for _, c := range clients {
 		lines := c.read()
@@ -129,3 +132,142 @@
 	}
 	must.SliceEmpty(t, f.group.Log())
 }
+
+// newForwardingFleet starts a fleet with two carriers, and returns the instance of a client whose
+// statements are forwarded.
+func newForwardingFleet(t *testing.T) (f *testFleet, ingress int) {
+	config := testConfig()
+	config.Groups[0].MaxConnections = scarce
+	for n := range config.Routes {
+		config.Routes[n].Timeout = time.Minute
+	}
+	f = newFleetWith(t, 5, config)
+	f.eventually("the carriers are known", func() bool { return len(f.carriers()) == 2 })
+	for n := range f.instances {
+		if !f.carriers()[n] {
+			return f, n
+		}
+	}
+	t.Fatal("all instances are carriers")
+	return nil, 0
+}
+
+// forwardedActive returns what the sessions that are forwarded to an instance do.
+func (f *testFleet) forwardedActive() (active relay.ActiveSessions, carrier int) {
+	for n, inst := range f.instances {
+		if a := inst.carrier.Active(); a.Running+a.InTx > 0 {
+			return a, n
+		}
+	}
+	return active, -1
+}
+
+// Guards against forwarded statements that are cut at a planned stop of their carrier, which
+// serves no client of its own.
+func TestCarrierStopAnswersForwardedStatements(t *testing.T) {
+	f, ingress := newForwardingFleet(t)
+	c := f.startSession(ingress, "strict")
+	c.must("BEGIN", "T")
+	_, carrier := f.forwardedActive()
+	reached, release := f.group.BlockStatements("m1")
+	c.send("WRITE 1 x")
+	<-reached
+	f.instances[carrier].settings.Grace = time.Minute // transactions may go on for half of it
+	stopped := make(chan struct{})
+	go func() {
+		f.instances[carrier].Stop()
+		close(stopped)
+	}()
+	f.eventually("the carrier takes no more clients", func() bool {
+		conn, err := net.Dial("tcp", f.instances[carrier].ClientAddr())
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	release()
+	c.mustRead("COMPLETE", "T")
+	c.must("COMMIT", "I")
+	<-stopped
+	must.Len(t, 1, f.group.Log())
+}
+
+// drainCarriers drains the forwarded sessions of all carriers. Its functions are those of
+// drainInstance.
+func (f *testFleet) drainCarriers() (endTransactions, wait func()) {
+	transactions, end := context.WithCancel(f.t.Context())
+	var drains sync.WaitGroup
+	for n := range f.carriers() {
+		drains.Go(func() { f.instances[n].carrier.Drain(transactions, f.t.Context()) })
+	}
+	return end, drains.Wait
+}
+
+// An open forwarded transaction may go on while its carrier drains.
+func TestForwardedTransactionOutlastsDrain(t *testing.T) {
+	f, ingress := newForwardingFleet(t)
+	c := f.startSession(ingress, "strict")
+	c.must("BEGIN", "T")
+	_, wait := f.drainCarriers()
+	drained := make(chan struct{})
+	go func() {
+		wait()
+		close(drained)
+	}()
+	f.startSession(ingress, "strict").mustQuery("READ 1", "ERROR BUSY", "I") // the drain has begun
+	for range 10 {
+		c.must("WRITE 1 x", "T")
+		time.Sleep(5 * time.Millisecond) // a drain that does not wait for the transaction ends meanwhile
+	}
+	select {
+	case <-drained:
+		t.Fatal("the drain ended while a transaction was open")
+	default:
+	}
+	c.must("COMMIT", "I")
+	<-drained
+	c.mustQuery("READ 1", "ERROR BUSY", "I")
+}
+
+// A carrier that stops ends forwarded transactions like those of its own clients.
+func TestForwardedTransactionsEndInPlannedStop(t *testing.T) {
+	f, ingress := newForwardingFleet(t)
+	silent, idle, running := f.startSession(ingress, "strict"), f.startSession(ingress, "strict"), f.startSession(ingress, "strict")
+	for _, c := range []*testClient{silent, idle, running} {
+		c.must("BEGIN", "T")
+	}
+	reached, release := f.group.BlockStatements("m1")
+	running.send("WRITE 1 x")
+	<-reached
+	running.send("WRITE 2 x")
+	endTransactions, wait := f.drainCarriers()
+	endTransactions()
+	idle.mustQuery("READ 1", "ERROR ABORTED", "I")
+	release()
+	running.mustRead("COMPLETE", "T")
+	running.mustRead("ERROR ABORTED", "I")
+	wait()
+	must.SliceEmpty(t, f.group.Log())
+}
+
+// When the time for running statements is over, forwarded ones get a final answer too.
+func TestForwardedStatementsAreAbortedInPlannedStop(t *testing.T) {
+	f, ingress := newForwardingFleet(t)
+	c := f.startSession(ingress, "strict")
+	c.must("BEGIN", "T")
+	_, carrier := f.forwardedActive()
+	reached, _ := f.group.BlockStatements("m1")
+	c.send("WRITE 1 x")
+	<-reached
+	f.instances[carrier].clients.CloseListener()
+	f.instances[carrier].abortWork(t.Context())
+	active, _ := f.forwardedActive()
+	must.Eq(t, relay.ActiveSessions{}, active)
+	c.mustRead("ERROR ABORTED the connection to the member was lost", "I")
+}
+
+func (c *testClient) mustQuery(text, prefix, state string) {
+	c.t.Helper()
+	c.send(text)
+	c.mustRead(prefix, state)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -52,13 +52,11 @@
 
 // Timeouts and intervals of the server.
 const (
-	startupTimeout         = 5 * time.Second        // for the startup request, which clients send at once
-	acceptRetryDelay       = 5 * time.Millisecond   // after a failed accept, for example when file descriptors run out
-	keepAliveIdle          = 5 * time.Second        // idle time after which TCP probes whether the client is still reachable
-	keepAliveInterval      = 2 * time.Second        // between two probes
-	keepAliveProbes        = 3                      // unanswered probes until the connection is closed
-	drainPollInterval      = 20 * time.Millisecond  // between two checks whether clients are still connected
-	drainInterruptInterval = 100 * time.Millisecond // between two interruptions of idle sessions
+	startupTimeout    = 5 * time.Second      // for the startup request, which clients send at once
+	acceptRetryDelay  = 5 * time.Millisecond // after a failed accept, for example when file descriptors run out
+	keepAliveIdle     = 5 * time.Second      // idle time after which TCP probes whether the client is still reachable
+	keepAliveInterval = 2 * time.Second      // between two probes
+	keepAliveProbes   = 3                    // unanswered probes until the connection is closed
 )
 
 // Server accepts client connections and serves their statements.
@@ -74,19 +72,6 @@
 	served   chan struct{} // closed when Serve has returned; nil before it
 }
 
-// stopPhase is the progress of a planned stop.
-type stopPhase int
-
-const (
-	notStopping        stopPhase = iota
-	draining                     // sessions end as soon as they are idle outside a transaction
-	endingTransactions           // open transactions are rolled back, unless their COMMIT arrives or is running
-	abortingStatements           // statements that are not running get their final answer now
-)
-
-// errStopping is the reason for not running a statement while the instance stops.
-var errStopping = errors.New("the instance is stopping")
-
 // clientHandler serves the connection of one client.
 type clientHandler struct {
 	server  *Server
@@ -296,9 +281,6 @@
 	return true
 }
 
-// stoppingDetail is the reason for rolling back a transaction in a planned stop.
-const stoppingDetail = "the instance is stopping, and the transaction was rolled back"
-
 // begin records that a statement is being served, whose waits cancel ends. While open transactions
 // are being ended, one that the statement does not end is rolled back.
 func (c *clientHandler) begin(st statement.Statement, cancel context.CancelCauseFunc) {
@@ -306,7 +288,7 @@
 	c.busy, c.cancel = true, cancel
 	c.mu.Unlock()
 	phase := c.server.currentPhase() // a later one is applied by enter
-	if phase >= endingTransactions && st.Kind != statement.Commit && st.Kind != statement.Rollback {
+	if phase.endsTxBefore(st) {
 		c.session.abandonTx(stoppingDetail)
 	}
 	if phase >= abortingStatements {
@@ -372,45 +354,22 @@
 // go on until transactions is done, then they are rolled back. Running statements are awaited until
 // statements is done. It returns when no session is left, or when statements is done.
 func (s *Server) Drain(transactions, statements context.Context) {
-	s.enter(draining)
-	interrupt := time.NewTicker(drainInterruptInterval)
-	defer interrupt.Stop()
-	poll := time.NewTicker(drainPollInterval)
-	defer poll.Stop()
-	transactionsDone := transactions.Done()
-	for s.NumClients() > 0 {
-		select {
-		case <-statements.Done():
-			return
-		case <-transactionsDone:
-			transactionsDone = nil
-			s.enter(endingTransactions)
-		case <-interrupt.C:
-			s.interruptIdle()
-		case <-poll.C:
-		}
-	}
+	drain(transactions, statements, s)
 }
 
+// remaining implements drainable.
+func (s *Server) remaining() int { return s.NumClients() }
+
 // AbortStatements ends the waits of all statements that have not been sent to a member. They are
 // refused.
 func (s *Server) AbortStatements() { s.enter(abortingStatements) }
 
 // AwaitSessions waits until all sessions have ended, or ctx is done.
 func (s *Server) AwaitSessions(ctx context.Context) {
-	poll := time.NewTicker(drainPollInterval)
-	defer poll.Stop()
-	for s.NumClients() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-poll.C:
-			s.interruptIdle()
-		}
-	}
+	await(ctx, s)
 }
 
-// enter begins a phase of the planned stop, and applies it to all sessions.
+// enter implements drainable.
 func (s *Server) enter(phase stopPhase) {
 	s.mu.Lock()
 	s.phase = phase
