lead: do not return to an old primary whose successor may be promoted

Cause: the record tells that a change is in progress, but not whether a promotion has been requested. A new leader that found the old primary healthy ended the change with it, although its predecessor's request could still take effect; the same leader's next attempt did after a request without an answer. The wait for an inherited promotion stood only before a promotion of its own.

Change: before each request the leader stores the member in the change (promoting), on the condition that it leads. While it is set, neither place that returns to the old primary does (endGrants, Select). A new leader repeats the request for the same member at once, and prefers that member among equal logs; for another one it waits 3.5 s, as before.

The tests fail with each of these taken out in a scratch copy: the guard while grants end, the one in Select, the stored request, the withdrawal, its two conditions, the preference.

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -289,11 +289,13 @@
 		record = record.afterPromotion(candidate.ID, candidateStatus.Term, candidateStatus.Received)
 		return &outcome{record: record, revision: revision}, nil
 	}
-	if g.inheritedChange == change.ID && c.now()-g.tookOverAt < inheritedPromotionTimeout {
-		return nil, fmt.Errorf("%w: a promotion by an earlier leader may be under way", errNoCandidate)
+	if c.mayInterfere(g, change, candidate.ID) {
+		return nil, fmt.Errorf("%w: an earlier leader has requested the promotion of %s", errNoCandidate, change.Promoting)
 	}
-	if g.leadershipProvenAt == 0 || c.now()-g.leadershipProvenAt > maxLeadershipProofAge {
-		// Writing the record again succeeds only while this instance is the leader.
+	requestedBefore := change.Promoting
+	if change.Promoting != candidate.ID || g.leadershipProvenAt == 0 || c.now()-g.leadershipProvenAt > maxLeadershipProofAge {
+		// The write succeeds only while this instance is the leader. A later leader sees it.
+		change.Promoting = candidate.ID
 		announced := record
 		announced.Change = &change
 		if revision, err = c.write(ctx, group, g, announced, revision); err != nil {
@@ -301,12 +303,35 @@
 		}
 	}
 	status, err := c.promote(ctx, record, candidate, candidateStatus.Received)
+	if errors.Is(err, member.ErrPromotionRefused) && requestedBefore == "" {
+		c.withdrawPromotion(ctx, group, g, record, change, revision)
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &outcome{record: record.afterPromotion(candidate.ID, status.Term, candidateStatus.Received), revision: revision}, nil
 }
 
+// mayInterfere reports whether the promotion of a member may interfere with that of another one
+// which an earlier leader has requested and which may still take effect. A repeated promotion of
+// the same member does not.
+func (c *Controller) mayInterfere(g *ledGroup, change Change, candidate string) bool {
+	return g.inheritedChange == change.ID && change.Promoting != "" && change.Promoting != candidate &&
+		c.now()-g.tookOverAt < inheritedPromotionTimeout
+}
+
+// withdrawPromotion records that no promotion is requested any more, so that the old primary may
+// stay if it answers again. If the write fails, the record keeps the request, and the old primary
+// is replaced.
+func (c *Controller) withdrawPromotion(ctx context.Context, group string, g *ledGroup, record Record, change Change, revision int64) {
+	change.Promoting = ""
+	record.Change = &change
+	if _, err := c.write(ctx, group, g, record, revision); err != nil {
+		c.log.WithField("group", group).WithError(err).Warn("lead: could not write to the store that the promotion was refused")
+	}
+	sleep(ctx, storeRetryPause)
+}
+
 // promote asks the platform to make a member the primary and waits until it is.
 func (c *Controller) promote(ctx context.Context, record Record, candidate topology.Member, position group.Position) (member.Status, error) {
 	promoteCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
@@ -315,7 +340,10 @@
 	c.log.WithFields(logrus.Fields{
 		"group": record.Group, "member": candidate.ID, "generation": record.Generation, "position": position.String(), "error": err,
 	}).Info("lead: the platform was asked to promote")
-	// After an error the promotion may have happened nevertheless; the member's status
+	if errors.Is(err, member.ErrPromotionRefused) {
+		return member.Status{}, err
+	}
+	// After another error the promotion may have happened nevertheless; the member's status
 	// shows it.
 	return c.awaitPromotion(ctx, candidate, record.Term)
 }
@@ -334,7 +362,7 @@
 		members := c.env.Topology().MembersOf(name)
 		answers := c.queryMembers(ctx, members, record.Primary)
 		s := c.selection(grants).forGroup(members, record, c.env.Topology().Groups[name])
-		s.Planned = change.Planned
+		s.Replaced, s.Promoting = change.replacesForGood(), change.Promoting
 		s.AllowDraining, s.DrainingAfter = c.now() >= allowDrainingAt, c.now()-c.drainTimeout+drainingLeadTime
 		strict := s // prefer a member that all instances know, if it has the whole log
 		strict.Unreached = grants.unreachable
@@ -362,7 +390,7 @@
 		described[n] = answer.String()
 	}
 	return c.log.WithFields(logrus.Fields{
-		"group": group, "old_primary": s.OldPrimary, "term": s.Term, "planned": s.Planned, "answers": strings.Join(described, ", "),
+		"group": group, "old_primary": s.OldPrimary, "term": s.Term, "replaced": s.Replaced, "answers": strings.Join(described, ", "),
 		"replicas": s.Replicas, "sync_replicas": s.SyncReplicas, "final_position": s.FinalPosition.String(), "unreached": s.Unreached,
 	})
 }
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -80,8 +80,17 @@
 	ID      string `json:"id"` // unique to one change
 	Reason  string `json:"reason"`
 	Planned bool   `json:"planned"` // the old primary is healthy and serves until it is replaced
+
+	// Promoting is the ID of the member whose promotion was last requested; empty: none was.
+	// It is stored before each request. From then on the promotion may take effect at any
+	// time, so that the old primary is never the primary again: the change ends only with a
+	// member that is primary in a newer term.
+	Promoting string `json:"promoting,omitempty"`
 }
 
+// replacesForGood reports whether the old primary cannot stay the primary.
+func (c Change) replacesForGood() bool { return c.Planned || c.Promoting != "" }
+
 // Record is the stored state of a group. Generation increases with each change of leader
 // and is the fencing token of that leader's promotions.
 type Record struct {
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -61,7 +61,7 @@
 		if !known {
 			continue
 		}
-		if !change.Planned && !old.Draining && c.isPrimary(ctx, old, record.Term) {
+		if !change.replacesForGood() && !old.Draining && c.isPrimary(ctx, old, record.Term) {
 			return grantsOutcome{primaryStays: true}
 		}
 	}
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -13,7 +13,8 @@
 	OldPrimary      string         // ID of the primary that is to be replaced
 	Term            uint64         // term of the old primary
 	TermStart       group.Position // end of the old primary's log when it was promoted; zero: unknown
-	Planned         bool           // the old primary must be replaced although it is healthy
+	Replaced        bool           // the old primary must be replaced although it is healthy
+	Promoting       string         // member whose promotion was requested last; empty: none
 	FinalPosition   group.Position // end of the old primary's log when it stepped down; zero: unknown
 	Replicas        int            // number of replicas of the group
 	SyncReplicas    int            // number of replicas that had received each acknowledged commit
@@ -65,8 +66,8 @@
 //
 //   - A member that is primary in a newer term than that of the record has already been
 //     promoted, and is chosen.
-//   - Otherwise the old primary stays, if it is still primary, the change is not planned and
-//     it does not drain.
+//   - Otherwise the old primary stays, if it is still primary, need not be replaced and does
+//     not drain.
 //   - Otherwise the replica with the longest log is chosen, if it does not drain and the
 //     criteria in s allow it.
 //   - If the group replicates synchronously, a member is chosen only if its log contains each
@@ -87,16 +88,16 @@
 		if s.AllowShorterLog {
 			required = group.Position{}
 		}
-		return longestLog(replicas, required, s.inService)
+		return s.longestLog(replicas, required, s.inService)
 	}
 	required, known := s.acknowledgedUpTo(replicas)
 	if !known {
 		return memberStatus{}, false // a replica that did not answer may hold acknowledged commits
 	}
-	if best, found := longestLog(replicas, required, s.inService); found {
+	if best, found := s.longestLog(replicas, required, s.inService); found {
 		return best, true
 	}
-	return longestLog(replicas, required, s.leadsUntilDrained)
+	return s.longestLog(replicas, required, s.leadsUntilDrained)
 }
 
 // findPrimary returns the member with the newest term that is primary and need not be
@@ -105,7 +106,7 @@
 	var best memberStatus
 	for _, m := range answers {
 		promoted := m.status.Term > s.Term
-		stays := m.status.Term == s.Term && m.member.ID == s.OldPrimary && !s.Planned && !m.member.Draining
+		stays := m.status.Term == s.Term && m.member.ID == s.OldPrimary && !s.Replaced && !m.member.Draining
 		if m.status.Primary && (promoted || stays) && m.status.Term > best.status.Term {
 			best = m
 		}
@@ -113,12 +114,12 @@
 	return best, best.status.Primary
 }
 
-// replicas returns the members that answered and count as replicas. The old primary of a
-// planned change does not, because it must not be promoted again.
+// replicas returns the members that answered and count as replicas. An old primary that must be
+// replaced does not, because it must not be promoted again.
 func (s Selection) replicas(answers []memberStatus) []memberStatus {
 	var replicas []memberStatus
 	for _, m := range answers {
-		if m.member.ID == s.OldPrimary && s.Planned {
+		if m.member.ID == s.OldPrimary && s.Replaced {
 			continue
 		}
 		m.status.Primary = m.status.Primary && m.status.Term >= s.Term
@@ -127,13 +128,17 @@
 	return replicas
 }
 
-// longestLog returns the first of the members with the longest log among those that are
-// eligible and whose log reaches the required position, or false if none does.
-func longestLog(members []memberStatus, required group.Position, eligible func(memberStatus) bool) (memberStatus, bool) {
+// longestLog returns a member with the longest log among those that are eligible and whose log
+// reaches the required position, or false if none does. Among equals it prefers the member whose
+// promotion was requested already.
+func (s Selection) longestLog(members []memberStatus, required group.Position, eligible func(memberStatus) bool) (memberStatus, bool) {
 	var best memberStatus
 	found := false
 	for _, m := range members {
-		if eligible(m) && m.status.Received.AtLeast(required) && (!found || best.status.Received.Less(m.status.Received)) {
+		if !eligible(m) || m.status.Received.Less(required) {
+			continue
+		}
+		if !found || best.status.Received.Less(m.status.Received) || m.member.ID == s.Promoting && best.status.Received == m.status.Received {
 			best, found = m, true
 		}
 	}
@@ -146,7 +151,7 @@
 // one of them, if that log also contains the commits of earlier terms. Replicas count here
 // whether or not they can be promoted.
 func (s Selection) acknowledgedUpTo(replicas []memberStatus) (group.Position, bool) {
-	longest, _ := longestLog(replicas, group.Position{}, anyReplica)
+	longest, _ := s.longestLog(replicas, group.Position{}, anyReplica)
 	enough := len(replicas) >= s.Replicas-s.SyncReplicas+1 && longest.status.Received.AtLeast(s.TermStart)
 	switch {
 	case !s.FinalPosition.IsZero() && !(enough && s.AllowShorterLog):
--- a/internal/lead/select_test.go
+++ b/internal/lead/select_test.go
@@ -32,7 +32,7 @@
 func TestSelect(t *testing.T) {
 	base := Selection{OldPrimary: "old", Term: 1, Replicas: 2}
 	planned := base
-	planned.Planned, planned.FinalPosition = true, group.Position{Term: 1, Index: 9}
+	planned.Replaced, planned.FinalPosition = true, group.Position{Term: 1, Index: 9}
 	hurried := planned
 	hurried.AllowShorterLog = true
 	synced := base
@@ -40,7 +40,7 @@
 	syncDraining := synced
 	syncDraining.AllowDraining, syncDraining.DrainingAfter = true, 5
 	syncPlanned := synced
-	syncPlanned.Planned, syncPlanned.FinalPosition = true, group.Position{Term: 1, Index: 9}
+	syncPlanned.Replaced, syncPlanned.FinalPosition = true, group.Position{Term: 1, Index: 9}
 	syncHurried := syncPlanned
 	syncHurried.AllowShorterLog, syncHurried.AllowDraining = true, true
 	syncSecond := Selection{OldPrimary: "gone", Term: 2, TermStart: group.Position{Term: 1, Index: 5}, Replicas: 1, SyncReplicas: 1}
@@ -53,6 +53,8 @@
 	}
 	unreached := base
 	unreached.Unreached, unreached.KnownBefore = true, 8
+	requested := base
+	requested.Replaced, requested.Promoting = true, "b"
 	second := Selection{OldPrimary: "gone", Term: 2, Replicas: 2}
 	inSecond := func(id string, index uint64) memberStatus {
 		f := replica(id, index)
@@ -66,6 +68,8 @@
 	}{
 		"no member answers":                                    {nil, base, ""},
 		"the longest log":                                      {[]memberStatus{replica("a", 3), replica("b", 5)}, base, "b"},
+		"a promotion was requested already":                    {[]memberStatus{replica("a", 5), replica("b", 5), primary("old", 1)}, requested, "b"},
+		"a promotion was requested, and another log is longer": {[]memberStatus{replica("a", 6), replica("b", 5), primary("old", 1)}, requested, "a"},
 		"not a draining member":                                {[]memberStatus{replica("a", 3), draining(replica("b", 5))}, base, "a"},
 		"already promoted":                                     {[]memberStatus{replica("a", 3), primary("b", 2)}, base, "b"},
 		"the newest term of two primaries":                     {[]memberStatus{primary("a", 2), primary("b", 3)}, base, "b"},
--- a/internal/lead/sync_property_test.go
+++ b/internal/lead/sync_property_test.go
@@ -113,7 +113,7 @@
 	var entries []topology.Member
 	var answers []memberStatus
 	s := Selection{
-		Planned: planned, AllowShorterLog: rapid.Bool().Draw(g.t, "shorter log"), AllowDraining: rapid.Bool().Draw(g.t, "draining"),
+		Replaced: planned, AllowShorterLog: rapid.Bool().Draw(g.t, "shorter log"), AllowDraining: rapid.Bool().Draw(g.t, "draining"),
 		Unreached: rapid.Bool().Draw(g.t, "unreached"), KnownBefore: 1,
 	}
 	if planned && !g.primary.down {
--- a/internal/member/conn.go
+++ b/internal/member/conn.go
@@ -14,6 +14,10 @@
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
+// ErrPromotionRefused means that a request to promote a member was refused or not delivered, and
+// will not take effect.
+var ErrPromotionRefused = errors.New("the promotion was refused")
+
 // ErrBroken means that a connection was closed or timed out before the complete answer
 // arrived. The statement that was sent may have run.
 var ErrBroken = errors.New("the connection broke before the whole answer arrived")
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -323,7 +323,7 @@
 	g.promotions = append(g.promotions, Promotion{Member: id, Instance: instance, FencingToken: token})
 	m := g.members[id]
 	if m == nil || m.reachability == Down {
-		return fmt.Errorf("member %s is not running", id)
+		return fmt.Errorf("%w: member %s is not running", member.ErrPromotionRefused, id)
 	}
 	if m.primary {
 		return nil
