lead: state the invariant of a requested promotion in the package comment

Two comments still described the wait as one before any promotion of a new leader, and the field as if a request could not be refused. Comments only; the code is that of the commit before.

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -53,8 +53,8 @@
 	// receiveTimeout is how long replicas get, once the primary is considered dead, to
 	// receive what it had sent to them. After it a draining replica may be promoted.
 	receiveTimeout = 200 * time.Millisecond
-	// inheritedPromotionTimeout is how long a new leader waits for a promotion that an
-	// earlier leader may have requested, before it requests one itself.
+	// inheritedPromotionTimeout is how long a new leader waits for the promotion that an
+	// earlier leader has requested, before it requests that of another member.
 	inheritedPromotionTimeout = promoteCallTimeout + promotionTimeout
 )
 
@@ -294,7 +294,7 @@
 	}
 	requestedBefore := change.Promoting
 	if change.Promoting != candidate.ID || g.leadershipProvenAt == 0 || c.now()-g.leadershipProvenAt > maxLeadershipProofAge {
-		// The write succeeds only while this instance is the leader. A later leader sees it.
+		// The write succeeds only while this instance is the leader, and a later leader reads it.
 		change.Promoting = candidate.ID
 		announced := record
 		announced.Change = &change
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -31,6 +31,9 @@
 //     unreachable instance may still use the old primary, only one that this instance knows
 //     and therefore asks during verification. Once enough instances have released, no grant
 //     can be attested any more, because the remaining instances are no quorum.
+//   - Before the leader requests a promotion it stores the member in the record. A later leader
+//     reads that, and an earlier one cannot store it any more. So the old primary becomes the
+//     primary again only if no requested promotion can still take effect.
 //
 // Consequently, traffic continues while the store is unavailable. An instance that is
 // partitioned or has crashed delays a change by at most GrantValidity plus about a second.
@@ -81,10 +84,10 @@
 	Reason  string `json:"reason"`
 	Planned bool   `json:"planned"` // the old primary is healthy and serves until it is replaced
 
-	// Promoting is the ID of the member whose promotion was last requested; empty: none was.
-	// It is stored before each request. From then on the promotion may take effect at any
-	// time, so that the old primary is never the primary again: the change ends only with a
-	// member that is primary in a newer term.
+	// Promoting is the ID of the member whose promotion was last requested; empty: none was, or
+	// it was refused. It is stored before each request. From then on the promotion may take
+	// effect at any time, so that the old primary must not become the primary again: the change
+	// ends only with a member that is primary in a newer term.
 	Promoting string `json:"promoting,omitempty"`
 }
 
