fleet: wait for the phase of a drain in the tests of planned stops

Traced: the test sent a statement right after it had asked for the phase in which transactions are rolled back, which the drain's goroutine enters. Not scheduled yet, the drain let the statement through to the member that the test blocks. A statement that arrives before the phase may run; the test assumed an order that nothing gives.

It now waits until the idle transactions are rolled back, and TestForwardedTransactionOutlastsDrain until a new transaction is refused. TestAbortedStatementsAreAnswered does not start a drain that may begin after the abort. The checks are the same.

--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -121,7 +122,7 @@
 	}
 	<-reached
 	f.eventually("all writes were read", func() bool { return f.instances[0].clients.Active().Idle == 0 })
-	drainInstance(t, f.instances[0])
+	f.instances[0].clients.CloseListener()
 	f.instances[0].abortWork(t.Context())
 	must.Eq(t, relay.ActiveSessions{}, f.instances[0].clients.Active())
 	tx.mustRead("ERROR ABORTED", "I")
@@ -214,7 +215,11 @@
 		wait()
 		close(drained)
 	}()
-	f.startSession(ingress, "strict").mustQuery("READ 1", "ERROR BUSY", "I") // the drain has begun
+	other := f.startSession(ingress, "strict")
+	f.eventually("new transactions are refused", func() bool {
+		line, _ := other.query("READ 1")
+		return strings.HasPrefix(line, "ERROR BUSY")
+	})
 	for range 10 {
 		c.must("WRITE 1 x", "T")
 		time.Sleep(5 * time.Millisecond) // a drain that does not wait for the transaction ends meanwhile
@@ -242,6 +247,13 @@
 	running.send("WRITE 2 x")
 	endTransactions, wait := f.drainCarriers()
 	endTransactions()
+	f.eventually("idle transactions were rolled back", func() bool {
+		inTx := 0
+		for _, inst := range f.instances {
+			inTx += inst.carrier.Active().InTx
+		}
+		return inTx == 0
+	})
 	idle.mustQuery("READ 1", "ERROR ABORTED", "I")
 	release()
 	running.mustRead("COMPLETE", "T")
