--- a/internal/lead/promotion_test.go
+++ b/internal/lead/promotion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,15 +73,17 @@
 	leaders   []*Controller
 	envs      []*fakeEnvironment
 	states    []*ledGroup
-	leader    int           // index of the present leader
-	clockStep time.Duration // by which each reading advances the clock
-	ended     bool          // a leader that ends gives up its registration
+	leader    int          // index of the present leader
+	clockStep atomic.Int64 // by which each reading advances the clock, in nanoseconds
+	ended     bool         // a leader that ends gives up its registration
 }
 
 func newFleetOfLeaders(t *testing.T) *fleetOfLeaders {
 	store := memstore.New()
-	f := &fleetOfLeaders{t: t, store: store, ended: true, clockStep: time.Second}
-	clock := time.Minute
+	f := &fleetOfLeaders{t: t, store: store, ended: true}
+	f.clockStep.Store(int64(time.Second))
+	var clock atomic.Int64
+	clock.Store(int64(time.Minute))
 	for _, name := range []string{"a", "b"} {
 		c, env := newControllerFor(t, name, store.Client(), topology.Group{Name: "g"}, "m1", "m2", "m3")
 		if f.promoter == nil {
@@ -88,8 +91,7 @@
 		}
 		c.dialer, c.promoter = f.promoter.Group, f.promoter
 		c.now = func() time.Duration {
-			clock += f.clockStep
-			return clock
+			return time.Duration(clock.Add(f.clockStep.Load()))
 		}
 		c.server.now = c.now
 		f.leaders, f.envs, f.states = append(f.leaders, c), append(f.envs, env), append(f.states, &ledGroup{})
@@ -165,7 +167,7 @@
 
 			f.ended = ended
 			f.takeOver(1)
-			f.clockStep = 100 * time.Millisecond // slow enough that the old primary is asked while its grants end
+			f.clockStep.Store(int64(100 * time.Millisecond)) // slow enough that the old primary is asked while its grants end
 			f.envs[1].view.missingSince["a"] = f.leaders[1].now()
 			f.promoter.called = func() {}
 			f.promoter.next = func() promotionResult { return promotionDone }
