lead: recognise an old primary that has restarted under a new ID

Callers saw writes acknowledged at the old primary after its successor had been promoted (rule ONE), and stale reads. A primary crashes, the leader requests a promotion and is stopped, the primary's process returns under a new ID while the replicas are down: the next leader chose it, because only the recorded ID counted as the old primary. The log line of the choice shows it: the member is 'primary of term 1' under another ID, and the group has its primary with term 1 while the promotion is pending.

The old primary is now the member that leads in the record's term, under whatever ID: it is not chosen once a promotion was requested, is no replica whose answer counts, stays under its new ID if nothing was requested, and is the one that steps down in a planned change. A term's start no longer changes when only the ID of its primary does.

The new tests and the widened property failed before. Each guard taken out on a scratch copy makes one of them fail.

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -278,7 +278,8 @@
 		grants.finalStatus, grants.steppedDown = c.stepDownOldPrimary(ctx, record)
 	}
 	if grants.primaryStays {
-		c.log.WithFields(logrus.Fields{"group": group, "member": record.Primary}).Info("lead: the primary answers again and is not replaced")
+		c.log.WithFields(logrus.Fields{"group": group, "member": grants.healthy.ID}).Info("lead: the primary answers again and is not replaced")
+		record.Primary = grants.healthy.ID
 		return &outcome{record: record, revision: revision}, nil
 	}
 	candidate, candidateStatus, err := c.chooseCandidate(ctx, group, record, change, grants)
@@ -408,7 +409,8 @@
 }
 
 // hasSuccessor reports whether any other member can be promoted after the old primary has
-// stepped down. If not, the old primary must not be told to step down.
+// stepped down. If not, the old primary must not be told to step down. If its process has ended
+// and the member has restarted under a new ID, that counts as another member.
 func (c *Controller) hasSuccessor(group, primary string, grants grantsOutcome) bool {
 	grants.steppedDown = true
 	s := c.selection(grants)
--- a/internal/lead/member_query.go
+++ b/internal/lead/member_query.go
@@ -22,6 +22,11 @@
 	status member.Status
 }
 
+// isPrimaryOf reports whether the member is the primary of a term.
+func (m memberStatus) isPrimaryOf(term uint64) bool {
+	return m.status.Primary && m.status.Term == term
+}
+
 // String describes the member's role, log position and state for log lines.
 func (m memberStatus) String() string {
 	role := "replica"
--- a/internal/lead/promotion_test.go
+++ b/internal/lead/promotion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,9 +11,12 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/stackspindle/stackspindle/internal/account"
+	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/standin/memstore"
+	"github.com/stackspindle/stackspindle/internal/statement"
 	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
@@ -76,6 +80,7 @@
 	leader    int          // index of the present leader
 	clockStep atomic.Int64 // by which each reading advances the clock, in nanoseconds
 	ended     bool         // a leader that ends gives up its registration
+	writes    int          // number of writes committed at members
 }
 
 func newFleetOfLeaders(t *testing.T) *fleetOfLeaders {
@@ -143,11 +148,48 @@
 	f.refresh()
 }
 
+// returnAs lets a member that is down return under a new ID. The entry of the old ID has vanished
+// or still exists.
+func (f *fleetOfLeaders) returnAs(id, newID string, entryVanished bool) {
+	f.promoter.ReturnAs(id, newID)
+	for _, env := range f.envs {
+		state := topology.New(0, 0)
+		state.SetConfig(env.topology.Config)
+		for _, m := range env.topology.MembersOf("g") {
+			if m.ID != id || !entryVanished {
+				state.SetMember(0, m, false)
+			}
+		}
+		state.SetMember(0, f.promoter.Entry(newID), false)
+		env.topology = state.Snapshot()
+	}
+}
+
+// write commits a write at a member.
+func (f *fleetOfLeaders) write(id string) {
+	conn, err := f.promoter.Dial(f.t.Context(), topology.Member{ID: id}, account.Anonymous)
+	must.NoError(f.t, err)
+	defer conn.Close()
+	f.writes++
+	answer, err := conn.Run(member.Request{Statement: statement.Statement{ID: fmt.Sprint(f.writes), Kind: statement.Write}, Deadline: time.Now().Add(time.Hour)})
+	must.NoError(f.t, err)
+	must.Nil(f.t, answer.Err)
+}
+
+// setReachability changes whether the members can be reached whose IDs are not excepted.
+func (f *fleetOfLeaders) setReachability(r membergroup.Reachability, except string) {
+	for _, m := range f.envs[0].topology.MembersOf("g") {
+		if m.ID != except && f.promoter.Has(m.ID) {
+			f.promoter.SetReachability(m.ID, r)
+		}
+	}
+}
+
 // returnedToOldPrimary reports whether the record names the primary that a pending promotion
-// replaces.
+// replaces, under whatever ID.
 func (f *fleetOfLeaders) returnedToOldPrimary() bool {
 	record, old := f.record(), f.promoter.old
-	return len(f.promoter.pending) > 0 && record.Change == nil && record.Primary == old.Primary && record.Term == old.Term
+	return len(f.promoter.pending) > 0 && record.Change == nil && record.Term == old.Term
 }
 
 // Guards against the return to an old primary whose successor is being promoted: the leader
@@ -178,6 +220,103 @@
 	}
 }
 
+// Guards against the return to an old primary that has restarted under a new ID while the promotion
+// of its successor is pending and the other members are down.
+func TestNextLeaderDoesNotReturnToOldPrimaryUnderNewID(t *testing.T) {
+	for name, entryVanished := range map[string]bool{"its old entry is gone": true, "its old entry still exists": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetOfLeaders(t)
+			ctx, stop := context.WithCancel(t.Context())
+			f.promoter.next = func() promotionResult { return promotionPending }
+			f.promoter.called = stop
+			f.promoter.SetReachability("m1", membergroup.Down)
+			f.beginChange(ctx)
+			must.Len(t, 1, f.promoter.pending)
+			f.setReachability(membergroup.Down, "m1")
+			f.returnAs("m1", "m1-restarted", entryVanished)
+
+			f.takeOver(1)
+			f.promoter.called = func() {}
+			f.promoter.next = func() promotionResult { return promotionDone }
+			f.tick(t.Context())
+			must.NotNil(t, f.record().Change, must.Sprintf("the group has its primary: %s", f.record().Primary))
+			f.setReachability(membergroup.Reachable, "m1-restarted")
+			f.tick(t.Context())
+			must.Nil(t, f.record().Change)
+			must.Greater(t, f.promoter.old.Term, f.record().Term)
+		})
+	}
+}
+
+// A leader returns to an old primary that has restarted under a new ID if no promotion was
+// requested. The term is the same one, and so is its start.
+func TestLeaderReturnsToOldPrimaryUnderNewID(t *testing.T) {
+	for name, entryVanished := range map[string]bool{"its old entry is gone": true, "its old entry still exists": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetOfLeaders(t)
+			record, revision := f.envs[0].guard.Record()
+			record.Change, record.TermStart = &Change{ID: "x"}, group.Position{Term: 1, Index: 7}
+			_, err := f.leaders[0].write(t.Context(), "g", f.states[0], record, revision)
+			must.NoError(t, err)
+			f.promoter.SetReachability("m1", membergroup.Down)
+			f.returnAs("m1", "m1-restarted", entryVanished)
+			f.refresh()
+			f.tick(t.Context())
+			must.Nil(t, f.record().Change)
+			must.Eq(t, "m1-restarted", f.record().Primary)
+			must.Eq(t, record.Term, f.record().Term)
+			must.Eq(t, record.TermStart, f.record().TermStart)
+			must.SliceEmpty(t, f.promoter.Promotions())
+		})
+	}
+}
+
+// An old primary that has restarted under a new ID stays the primary also while an instance that
+// cannot be reached may still hold a grant for it.
+func TestPrimaryUnderNewIDStaysWhileGrantsEnd(t *testing.T) {
+	f := newFleetOfLeaders(t)
+	registerUnreachable(t, f.store, f.envs[0], Instance{Name: "x", Incarnation: "1", Address: "127.0.0.1:1"})
+	record, revision := f.envs[0].guard.Record()
+	record.Change = &Change{ID: "x"}
+	_, err := f.leaders[0].write(t.Context(), "g", f.states[0], record, revision)
+	must.NoError(t, err)
+	f.promoter.SetReachability("m1", membergroup.Down)
+	f.returnAs("m1", "m1-restarted", true)
+	f.clockStep.Store(int64(time.Millisecond)) // slow enough that the grant does not lapse
+	f.refresh()
+	f.envs[0].view.missingSince["x"] = f.leaders[0].now()
+	f.tick(t.Context())
+	must.Nil(t, f.record().Change)
+	must.Eq(t, "m1-restarted", f.record().Primary)
+	must.Eq(t, record.Term, f.record().Term)
+}
+
+// Guards against a planned change that loses the last commits because the primary has restarted
+// under a new ID: the restarted primary is told to step down, and its successor has its whole log.
+func TestPlannedChangeOfPrimaryUnderNewID(t *testing.T) {
+	for name, entryVanished := range map[string]bool{"its old entry is gone": true, "its old entry still exists": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetOfLeaders(t)
+			record, revision := f.envs[0].guard.Record()
+			record.Change = &Change{ID: "x", Planned: true}
+			_, err := f.leaders[0].write(t.Context(), "g", f.states[0], record, revision)
+			must.NoError(t, err)
+			f.promoter.SetReachability("m1", membergroup.Down)
+			f.returnAs("m1", "m1-restarted", entryVanished)
+			f.promoter.SetLagging("m3", true)
+			f.write("m1-restarted")
+			f.refresh()
+			f.promoter.called = func() { must.False(t, f.promoter.Entry("m1-restarted").Primary) }
+			f.tick(t.Context())
+			must.Nil(t, f.record().Change)
+			must.Greater(t, record.Term, f.record().Term)
+			for id, commit := range f.promoter.Commits() {
+				must.False(t, commit.Dropped, must.Sprint(id))
+			}
+		})
+	}
+}
+
 // A new leader returns to an old primary that answers again if no promotion was requested.
 func TestNextLeaderReturnsToOldPrimaryBeforePromotion(t *testing.T) {
 	for name, result := range map[string]promotionResult{"none was requested": "", "it was refused": promotionRefused} {
@@ -208,8 +347,8 @@
 }
 
 // TestNoReturnToOldPrimaryWhilePromotionIsPending draws orders of leaders that stop, promotions that
-// are late, lost or refused, and members that crash and return. While a promotion may take effect,
-// the record never names another primary.
+// are late, lost or refused, and members that crash and return, the old primary also under a new ID.
+// While a promotion may take effect, the record never names the primary of the old term.
 func TestNoReturnToOldPrimaryWhilePromotionIsPending(t *testing.T) {
 	checks := flag.Lookup("rapid.checks")
 	before := checks.Value.String()
@@ -219,8 +358,10 @@
 		f := newFleetOfLeaders(t)
 		results := []promotionResult{promotionDone, promotionPending, promotionLate, promotionLost, promotionRefused}
 		f.promoter.next = func() promotionResult { return rapid.SampledFrom(results).Draw(rt, "promotion") }
-		f.promoter.SetReachability("m1", membergroup.Down)
-		steps := append([]string{"change"}, rapid.SliceOfN(rapid.SampledFrom([]string{"crash", "return", "tick", "take over", "take effect"}), 2, 7).Draw(rt, "steps")...)
+		old := "m1"
+		f.promoter.SetReachability(old, membergroup.Down)
+		kinds := []string{"crash", "return", "return under a new ID", "others crash", "others return", "tick", "take over", "take effect"}
+		steps := append([]string{"change"}, rapid.SliceOfN(rapid.SampledFrom(kinds), 2, 8).Draw(rt, "steps")...)
 		for _, step := range steps {
 			ctx, stop := context.WithCancel(t.Context())
 			f.promoter.called = func() {
@@ -230,9 +371,17 @@
 			}
 			switch step {
 			case "crash":
-				f.promoter.SetReachability("m1", membergroup.Down)
+				f.promoter.SetReachability(old, membergroup.Down)
 			case "return":
-				f.promoter.SetReachability("m1", membergroup.Reachable)
+				f.promoter.SetReachability(old, membergroup.Reachable)
+			case "return under a new ID":
+				f.promoter.SetReachability(old, membergroup.Down)
+				f.returnAs(old, old+"'", rapid.Bool().Draw(rt, "the old entry has vanished"))
+				old += "'"
+			case "others crash":
+				f.setReachability(membergroup.Down, old)
+			case "others return":
+				f.setReachability(membergroup.Reachable, old)
 			case "change":
 				f.beginChange(ctx)
 			case "tick":
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -33,7 +33,8 @@
 //     can be attested any more, because the remaining instances are no quorum.
 //   - Before the leader requests a promotion it stores the member in the record. A later leader
 //     reads that, and an earlier one cannot store it any more. So the old primary becomes the
-//     primary again only if no requested promotion can still take effect.
+//     primary again only if no requested promotion can still take effect. The old primary is the
+//     member that leads in the record's term: its process may have restarted under a new ID.
 //
 // Consequently, traffic continues while the store is unavailable. An instance that is
 // partitioned or has crashed delays a change by at most GrantValidity plus about a second.
@@ -100,7 +101,7 @@
 	Group      string  `json:"group"`
 	Generation uint64  `json:"generation"`
 	Leader     string  `json:"leader"`
-	Primary    string  `json:"primary"` // member ID; empty: not known yet
+	Primary    string  `json:"primary"` // member ID; empty: not known yet. A member that restarts may have another one.
 	Term       uint64  `json:"term"`    // term in which Primary is the primary
 	Change     *Change `json:"change,omitempty"`
 
@@ -110,12 +111,12 @@
 }
 
 // afterPromotion returns the record with a member as the primary of a term that it began at a
-// log position. It returns the record unchanged if that member was the primary already.
+// log position. In the record's own term only the primary's ID can change.
 func (r Record) afterPromotion(primary string, term uint64, start group.Position) Record {
-	if r.Primary == primary && r.Term == term {
-		return r
+	if r.Term != term {
+		r.Term, r.TermStart = term, start
 	}
-	r.Primary, r.Term, r.TermStart = primary, term, start
+	r.Primary = primary
 	return r
 }
 
--- a/internal/lead/release.go
+++ b/internal/lead/release.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +18,11 @@
 
 // grantsOutcome is the result of ending the grants for the old primary.
 type grantsOutcome struct {
-	ended        bool          // no grant for the old primary is confirmed any more
-	primaryStays bool          // the old primary is healthy and must not be replaced
-	finalStatus  member.Status // status of the old primary when it stepped down
-	steppedDown  bool          // the old primary confirmed that it stepped down
+	ended        bool            // no grant for the old primary is confirmed any more
+	healthy      topology.Member // the old primary, if it is healthy and must not be replaced
+	primaryStays bool            // healthy is set
+	finalStatus  member.Status   // status of the old primary when it stepped down
+	steppedDown  bool            // the old primary confirmed that it stepped down
 
 	// unreachable reports that unreachable instances may still use the old primary, with each
 	// answer verified by the other members that they know. Each of them knows what the
@@ -57,25 +59,52 @@
 		case <-ctx.Done():
 			return grantsOutcome{}
 		}
-		old, known := c.env.Topology().Member(record.Primary)
-		if !known {
+		if change.replacesForGood() {
 			continue
 		}
-		if !change.replacesForGood() && !old.Draining && c.isPrimary(ctx, old, record.Term) {
-			return grantsOutcome{primaryStays: true}
+		if old, found := c.oldPrimary(ctx, record); found && !old.Draining {
+			return grantsOutcome{primaryStays: true, healthy: old}
 		}
 	}
 }
 
+// oldPrimary returns the member that answers as the primary of the record's term, or false if none
+// does. That is the recorded one, unless it has restarted under a new ID.
+func (c *Controller) oldPrimary(ctx context.Context, record Record) (topology.Member, bool) {
+	if m, known := c.env.Topology().Member(record.Primary); known && c.isPrimary(ctx, m, record.Term) {
+		return m, true
+	}
+	return c.restartedPrimary(ctx, record)
+}
+
+// restartedPrimary returns the member that answers as the primary of the record's term under
+// another ID than the recorded one, or false if none does.
+func (c *Controller) restartedPrimary(ctx context.Context, record Record) (topology.Member, bool) {
+	members := slices.Clone(c.env.Topology().MembersOf(record.Group))
+	others := slices.DeleteFunc(members, func(m topology.Member) bool { return m.ID == record.Primary })
+	for _, answer := range c.queryMembers(ctx, others, "") {
+		if answer.isPrimaryOf(record.Term) {
+			c.log.WithFields(logrus.Fields{"group": record.Group, "member": answer.member.ID, "recorded": record.Primary, "term": record.Term}).
+				Info("lead: the primary has restarted under a new ID")
+			return answer.member, true
+		}
+	}
+	return topology.Member{}, false
+}
+
 // stepDownOldPrimary makes the old primary of a planned change step down and returns the
 // status that it reports, so that the change can wait until the successor has received its
 // whole log. The result is false if it did not step down.
 func (c *Controller) stepDownOldPrimary(ctx context.Context, record Record) (member.Status, bool) {
-	old, known := c.env.Topology().Member(record.Primary)
-	if !known {
-		return member.Status{}, false
+	if old, known := c.env.Topology().Member(record.Primary); known {
+		if status, done := c.stepDown(ctx, old, record.Term); done {
+			return status, true
+		}
+	}
+	if old, found := c.restartedPrimary(ctx, record); found {
+		return c.stepDown(ctx, old, record.Term)
 	}
-	return c.stepDown(ctx, old, record.Term)
+	return member.Status{}, false
 }
 
 // isPrimary reports whether a member answers that it is the primary of a term.
@@ -86,7 +115,7 @@
 	}
 	c.log.WithFields(logrus.Fields{"member": m.ID, "leads": answer.status.Primary, "term": answer.status.Term, "record_term": term}).
 		Info("lead: the primary answered while it was being replaced")
-	return answer.status.Primary && answer.status.Term == term
+	return answer.isPrimaryOf(term)
 }
 
 // stepDown tells the old primary to become a replica. It returns the status that the
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -10,13 +10,13 @@
 // Selection holds the criteria by which Select chooses the primary, besides the members'
 // status.
 type Selection struct {
-	OldPrimary      string         // ID of the primary that is to be replaced
+	OldPrimary      string         // recorded ID of the primary that is to be replaced
 	Term            uint64         // term of the old primary
 	TermStart       group.Position // end of the old primary's log when it was promoted; zero: unknown
 	Replaced        bool           // the old primary must be replaced although it is healthy
 	Promoting       string         // member whose promotion was requested last; empty: none
 	FinalPosition   group.Position // end of the old primary's log when it stepped down; zero: unknown
-	Replicas        int            // number of replicas of the group
+	Replicas        int            // number of members without that ID
 	SyncReplicas    int            // number of replicas that had received each acknowledged commit
 	Unreached       bool           // unreachable instances may still use the old primary, so only members that they know may be promoted
 	KnownBefore     time.Duration  // unreachable instances know each member that has been known here since before this time
@@ -45,6 +45,12 @@
 	return s
 }
 
+// isOldPrimary reports whether a member is the primary of the record's term, under whatever ID: a
+// member that restarts keeps its log and role, and may return under a new ID.
+func (s Selection) isOldPrimary(m memberStatus) bool {
+	return m.member.ID == s.OldPrimary || m.isPrimaryOf(s.Term)
+}
+
 // isKnown reports whether the member is known to all instances that may use the old primary.
 func (s Selection) isKnown(m topology.Member) bool { return !s.Unreached || s.knownToUnreachable(m) }
 
@@ -67,7 +73,7 @@
 //   - A member that is primary in a newer term than that of the record has already been
 //     promoted, and is chosen.
 //   - Otherwise the old primary stays, if it is still primary, need not be replaced and does
-//     not drain.
+//     not drain. It is the primary of the record's term, whether or not its ID is the recorded one.
 //   - Otherwise the replica with the longest log is chosen, if it does not drain and the
 //     criteria in s allow it.
 //   - If the group replicates synchronously, a member is chosen only if its log contains each
@@ -90,6 +96,11 @@
 		}
 		return s.longestLog(replicas, required, s.inService)
 	}
+	for _, m := range answers {
+		if m.member.ID != s.OldPrimary && m.isPrimaryOf(s.Term) {
+			s.Replicas-- // it was counted under its new ID
+		}
+	}
 	required, known := s.acknowledgedUpTo(replicas)
 	if !known {
 		return memberStatus{}, false // a replica that did not answer may hold acknowledged commits
@@ -106,7 +117,7 @@
 	var best memberStatus
 	for _, m := range answers {
 		promoted := m.status.Term > s.Term
-		stays := m.status.Term == s.Term && m.member.ID == s.OldPrimary && !s.Replaced && !m.member.Draining
+		stays := m.status.Term == s.Term && !s.Replaced && !m.member.Draining
 		if m.status.Primary && (promoted || stays) && m.status.Term > best.status.Term {
 			best = m
 		}
@@ -119,7 +130,7 @@
 func (s Selection) replicas(answers []memberStatus) []memberStatus {
 	var replicas []memberStatus
 	for _, m := range answers {
-		if m.member.ID == s.OldPrimary && s.Replaced {
+		if s.Replaced && s.isOldPrimary(m) {
 			continue
 		}
 		m.status.Primary = m.status.Primary && m.status.Term >= s.Term
--- a/internal/lead/select_test.go
+++ b/internal/lead/select_test.go
@@ -61,6 +61,8 @@
 		f.status.Term, f.status.Received.Term = 2, 2
 		return f
 	}
+	syncNewID := synced
+	syncNewID.Replaced, syncNewID.Replicas = true, 3
 	for name, c := range map[string]struct {
 		answers []memberStatus
 		s       Selection
@@ -78,6 +80,10 @@
 		"the old primary must be replaced as planned":          {[]memberStatus{replica("a", 9), primary("old", 1)}, planned, "a"},
 		"a replica lacks the old primary's last writes":        {[]memberStatus{replica("a", 8), replica("old", 9)}, planned, ""},
 		"a replica lacks the last writes and the wait is over": {[]memberStatus{replica("a", 8)}, hurried, "a"},
+		"the old primary is healthy under a new ID":            {[]memberStatus{replica("a", 3), primary("new", 1)}, base, "new"},
+		"the old primary must be replaced under a new ID":      {[]memberStatus{replica("a", 3), primary("new", 1)}, requested, "a"},
+		"the old primary answers alone under a new ID":         {[]memberStatus{primary("new", 1)}, requested, ""},
+		"the old primary drains under a new ID":                {[]memberStatus{replica("a", 3), draining(primary("new", 1))}, base, "a"},
 		"the old primary is now a replica":                     {[]memberStatus{replica("a", 8), replica("old", 9)}, base, "old"},
 		"a stale primary of an earlier term, answers first":    {[]memberStatus{primary("stale", 1), inSecond("a", 3)}, second, "a"},
 		"a stale primary of an earlier term, answers last":     {[]memberStatus{inSecond("a", 3), primary("stale", 1)}, second, "a"},
@@ -95,6 +101,9 @@
 		"sync: the draining replica alone":                          {[]memberStatus{drainingSince(replica("b", 5), 5)}, syncDraining, ""},
 		"sync: the longest log is unknown to some instance":         {[]memberStatus{replica("a", 3), since(replica("b", 5), 9)}, syncUnreached, ""},
 		"sync: the old primary drains and is a replica now":         {[]memberStatus{replica("a", 8), draining(replica("old", 9))}, synced, ""},
+		"sync: the old primary under a new ID is no replica":        {[]memberStatus{replica("a", 8), replica("b", 7), primary("new", 1)}, syncNewID, "a"},
+		"sync: a replica is missing, the old primary has a new ID":  {[]memberStatus{replica("a", 8), primary("new", 1)}, syncNewID, ""},
+		"sync: the new ID may be that of a replica":                 {[]memberStatus{replica("a", 8), replica("b", 7)}, syncNewID, ""},
 		"sync: the log ends before the term began":                  {[]memberStatus{replica("a", 4)}, syncSecond, ""},
 		"sync: the log ends where the term began":                   {[]memberStatus{replica("a", 5)}, syncSecond, "a"},
 		"sync: planned, a draining replica may be ahead":            {[]memberStatus{replica("a", 8), draining(replica("b", 9))}, syncPlanned, ""},
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -116,7 +116,7 @@
 
 // New returns a group whose first member is the primary, in term 1.
 func New(name string, ids ...string) *Group {
-	g := &Group{name: name, members: make(map[string]*memberState), order: ids, nextTerm: 2, commits: make(map[string]Commit)}
+	g := &Group{name: name, members: make(map[string]*memberState), order: slices.Clone(ids), nextTerm: 2, commits: make(map[string]Commit)}
 	for i, id := range ids {
 		g.members[id] = &memberState{id: id, primary: i == 0, term: 1, applied: group.Position{Term: 1}, conns: make(map[*conn]struct{})}
 	}
@@ -130,6 +130,13 @@
 	return topology.Member{ID: id, Group: g.name, Address: id, Primary: g.members[id].primary, Slots: 3}
 }
 
+// Has reports whether a member has this ID.
+func (g *Group) Has(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[id] != nil
+}
+
 // SetReachability changes whether a member can be reached. A replaced primary that
 // becomes reachable again turns into a replica: at once after being down, and after
 // stepDownDelay otherwise.
@@ -156,6 +163,18 @@
 	}
 }
 
+// ReturnAs makes a member that is down reachable again under a new ID, with its log and role.
+func (g *Group) ReturnAs(id, newID string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	m.id, m.reachability = newID, Reachable
+	delete(g.members, id)
+	g.members[newID] = m
+	g.order[slices.Index(g.order, id)] = newID
+	g.stepDownIfReplaced(m)
+}
+
 // BlockStatements makes the statements that reach a member from now on wait until
 // release is called. reached receives an item for each waiting statement.
 func (g *Group) BlockStatements(id string) (reached <-chan struct{}, release func()) {
