standin: let a replaced primary carry on for a second, and members return under a new ID

The stand-in made a reachable old primary step down in the instant of the promotion. The members of the platform carry on until a second after they can reach the new one, so no test with these stand-ins could see a write that is acknowledged at a replaced primary. Members check the ID that a caller expects.

--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -155,14 +155,19 @@
 	case r == Reachable && before == Down:
 		g.stepDownIfReplaced(m) // a restarted member learns who is primary before it serves
 	case r == Reachable && before == Unresponsive:
-		time.AfterFunc(stepDownDelay, func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.stepDownIfReplaced(m)
-		})
+		g.stepDownLater(m)
 	}
 }
 
+// stepDownLater makes a replaced primary a replica after stepDownDelay.
+func (g *Group) stepDownLater(m *memberState) {
+	time.AfterFunc(stepDownDelay, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.stepDownIfReplaced(m)
+	})
+}
+
 // ReturnAs makes a member that is down reachable again under a new ID, with its log and role.
 func (g *Group) ReturnAs(id, newID string) {
 	g.mu.Lock()
@@ -351,10 +356,9 @@
 	m.primary, m.term = true, g.nextTerm
 	g.nextTerm++
 	for _, other := range g.members {
-		// A reachable old primary steps down; an unreachable one keeps its role until
-		// it is reachable again.
+		// An unreachable old primary keeps its role until it is reachable again.
 		if other != m && other.primary && other.reachability == Reachable {
-			other.primary = false
+			g.stepDownLater(other)
 		}
 	}
 	g.replicate()
--- a/internal/standin/memberserver/memberserver.go
+++ b/internal/standin/memberserver/memberserver.go
@@ -12,6 +12,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/stackspindle/stackspindle/internal/group"
@@ -26,7 +27,7 @@
 
 // Server serves one member.
 type Server struct {
-	id                string
+	id                atomic.Pointer[string]
 	dialer            member.Dialer
 	statementDuration time.Duration
 	listener          net.Listener
@@ -40,11 +41,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("member %s: %w", id, err)
 	}
-	s := &Server{id: id, dialer: dialer, statementDuration: statementDuration, listener: l, finding: finding}
+	s := &Server{dialer: dialer, statementDuration: statementDuration, listener: l, finding: finding}
+	s.SetID(id)
 	go s.accept()
 	return s, nil
 }
 
+// SetID changes the member's ID, as when its process starts again under another one.
+func (s *Server) SetID(id string) { s.id.Store(&id) }
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -64,6 +69,7 @@
 // session is one connection to the member.
 type session struct {
 	server  *Server
+	id      string // of the member
 	conn    member.Conn
 	state   statement.State
 	txOwner string            // client whose transaction is open; empty: none
@@ -83,13 +89,18 @@
 	defer cancel()
 	_, account, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ") // skip STARTUP
 	_, account, _ = strings.Cut(account, " ")                          // skip the group
-	account, _, _ = strings.Cut(account, " ")                          // drop the member ID that follows
-	inner, err := s.dialer.Dial(ctx, topology.Member{ID: s.id}, account)
+	account, expected, _ := strings.Cut(account, " ")
+	id := *s.id.Load()
+	if expected != "" && expected != id {
+		_, _ = fmt.Fprintf(conn, "ERROR MISROUTED %s\r\n", id) // the connection ends in any case
+		return
+	}
+	inner, err := s.dialer.Dial(ctx, topology.Member{ID: id}, account)
 	if err != nil {
 		return // the member is down
 	}
 	defer inner.Close()
-	c := &session{server: s, conn: inner, state: statement.Idle, values: make(map[string]string)}
+	c := &session{server: s, id: id, conn: inner, state: statement.Idle, values: make(map[string]string)}
 	if _, err := fmt.Fprintf(conn, "READY I -\r\n"); err != nil {
 		return
 	}
@@ -168,7 +179,7 @@
 
 // malformed reports a request that cannot be parsed and returns an error answer.
 func (c *session) malformed(text string) statement.Answer {
-	c.server.finding("member %s was sent %q, which is no statement", c.server.id, text)
+	c.server.finding("member %s was sent %q, which is no statement", c.id, text)
 	return statement.Answer{State: c.state, Err: errMalformed}
 }
 
@@ -233,13 +244,13 @@
 	}
 	owner, _, _ := strings.Cut(st.ID, "-")
 	if c.txOwner != "" && c.txOwner != owner {
-		c.server.finding("member %s: statement %s runs in the transaction of %s", c.server.id, st.ID, c.txOwner)
+		c.server.finding("member %s: statement %s runs in the transaction of %s", c.id, st.ID, c.txOwner)
 	}
 	if st.Kind == statement.Begin || st.Kind == statement.BeginRead {
 		c.txOwner = owner
 	}
 	if value, set := c.values["owner"]; set && value != owner {
-		c.server.finding("member %s: statement %s runs with the values of %s", c.server.id, st.ID, value)
+		c.server.finding("member %s: statement %s runs with the values of %s", c.id, st.ID, value)
 	}
 }
 
