fleet: test that a planned stop answers what is left at its end

With the call of abortWork taken out of Instance.Stop all tests passed, because they called abortWork themselves. The steps from the drain to the last answer are one function now, and the two tests of aborted statements run that.

With the call taken out on a scratch copy, TestAbortedStatementsAreAnswered and TestForwardedStatementsAreAbortedInPlannedStop fail.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -371,6 +371,15 @@
 	case <-transactions.Done():
 	}
 	i.clients.CloseListener()
+	i.finishWork(transactions, statements, answers)
+	i.stopPeers()
+	i.close()
+}
+
+// finishWork returns once the work of all sessions has ended and has been answered. Open
+// transactions may go on until the first context is done, and running statements until the second
+// one is. The last one bounds the wait for the answers.
+func (i *Instance) finishWork(transactions, statements, answers context.Context) {
 	var drains sync.WaitGroup
 	drains.Go(func() { i.clients.Drain(transactions, statements) })
 	drains.Go(func() { i.carrier.Drain(transactions, statements) })
@@ -378,8 +387,6 @@
 	i.logActive("drained")
 	i.abortWork(answers)
 	i.logActive("answered")
-	i.stopPeers()
-	i.close()
 }
 
 // abortWork gives the statements that are left their final answers, and waits until these are sent
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -103,10 +103,17 @@
 	must.Len(t, 1, f.group.Log())
 }
 
+// ended returns a context that is done.
+func ended(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx
+}
+
 var abortedInStop = regexp.MustCompile("^ERROR (BUSY retry after [0-9]+ ms: not run: the instance is stopping|INDOUBT it may have run: )")
 
-// When the time for running statements is over, each of them gets a final answer: the transaction
-// was rolled back, or the outcome of a write is unknown, or the statement has not run.
+// Guards against a planned stop that ends without answering what is still running: when the time
+// for running statements is over, each of them gets a final answer: the transaction was rolled back, or the outcome of a write is unknown, or the statement has not run.
 func TestAbortedStatementsAreAnswered(t *testing.T) {
 	const writers = 40 // more than the members' connections
 	f := newFleet(t, 1)
@@ -123,7 +130,7 @@
 	<-reached
 	f.eventually("all writes were read", func() bool { return f.instances[0].clients.Active().Idle == 0 })
 	f.instances[0].clients.CloseListener()
-	f.instances[0].abortWork(t.Context())
+	f.instances[0].finishWork(ended(t), ended(t), t.Context())
 	must.Eq(t, relay.ActiveSessions{}, f.instances[0].clients.Active())
 	tx.mustRead("ERROR ABORTED", "I")
 	for _, c := range clients {
@@ -272,7 +279,7 @@
 	c.send("WRITE 1 x")
 	<-reached
 	f.instances[carrier].clients.CloseListener()
-	f.instances[carrier].abortWork(t.Context())
+	f.instances[carrier].finishWork(ended(t), ended(t), t.Context())
 	active, _ := f.forwardedActive()
 	must.Eq(t, relay.ActiveSessions{}, active)
 	c.mustRead("ERROR ABORTED the connection to the member was lost", "I")
