lead: promote the old primary again if no other member can be

Callers would see a group without a primary although the old one is healthy: once a promotion was requested, nothing returned to the old primary, so a group whose other members stay down had none. Returning after a while is not safe either, since the successor may have led unseen and crashed, and returns as the primary.

When no other member can be promoted and the request cannot take effect any more, the old primary is asked for. The platform leaves its present primary in its term and promotes any other member, so the old primary is the platform's primary in both cases; without an answer nothing is concluded. The wait for a promotion of another member covers those of this leader too, and has tests. The request of a promotion is a function of its own.

TestOldPrimaryLeadsAgainIfNoOtherMemberCan failed before (no primary), as did TestLeaderAwaitsItsOwnPromotionOfAnotherMember. The wait taken out passed all tests before; now each guard that is taken out on a scratch copy makes one fail. The property's promotions take effect within their bound, and the record has to name the platform's term.

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
-	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/kv"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/topology"
@@ -54,7 +53,7 @@
 	// receive what it had sent to them. After it a draining replica may be promoted.
 	receiveTimeout = 200 * time.Millisecond
 	// inheritedPromotionTimeout is how long a new leader waits for the promotion that an
-	// earlier leader has requested, before it requests that of another member.
+	// earlier leader has requested, before another member may become the primary.
 	inheritedPromotionTimeout = promoteCallTimeout + promotionTimeout
 )
 
@@ -282,43 +281,55 @@
 		record.Primary = grants.healthy.ID
 		return &outcome{record: record, revision: revision}, nil
 	}
-	candidate, candidateStatus, err := c.chooseCandidate(ctx, group, record, change, grants)
+	candidate, err := c.chooseCandidate(ctx, group, record, change, grants)
 	if err != nil {
 		return nil, err
 	}
-	if candidateStatus.Primary {
-		record = record.afterPromotion(candidate.ID, candidateStatus.Term, candidateStatus.Received)
+	if candidate.status.Primary {
+		record = record.afterPromotion(candidate.member.ID, candidate.status.Term, candidate.status.Received)
 		return &outcome{record: record, revision: revision}, nil
 	}
-	if c.mayInterfere(g, change, candidate.ID) {
-		return nil, fmt.Errorf("%w: an earlier leader has requested the promotion of %s", errNoCandidate, change.Promoting)
+	if change.Promoting != candidate.member.ID && c.promotionPending(g, change) {
+		return nil, fmt.Errorf("%w: the requested promotion of %s may still take effect", errNoCandidate, change.Promoting)
 	}
+	return c.requestPromotion(ctx, g, record, change, revision, candidate)
+}
+
+// requestPromotion stores which member is promoted, asks the platform to promote it, and waits until
+// it is the primary.
+func (c *Controller) requestPromotion(ctx context.Context, g *ledGroup, record Record, change Change, revision int64, candidate memberStatus) (*outcome, error) {
 	requestedBefore := change.Promoting
-	if change.Promoting != candidate.ID || g.leadershipProvenAt == 0 || c.now()-g.leadershipProvenAt > maxLeadershipProofAge {
+	if requestedBefore != candidate.member.ID || g.leadershipProvenAt == 0 || c.now()-g.leadershipProvenAt > maxLeadershipProofAge {
 		// The write succeeds only while this instance is the leader, and a later leader reads it.
-		change.Promoting = candidate.ID
+		change.Promoting = candidate.member.ID
 		announced := record
 		announced.Change = &change
-		if revision, err = c.write(ctx, group, g, announced, revision); err != nil {
+		var err error
+		if revision, err = c.write(ctx, record.Group, g, announced, revision); err != nil {
 			return nil, err
 		}
 	}
-	status, err := c.promote(ctx, record, candidate, candidateStatus.Received)
+	status, err := c.promote(ctx, g, record, change, candidate)
 	if errors.Is(err, member.ErrPromotionRefused) && requestedBefore == "" {
-		c.withdrawPromotion(ctx, group, g, record, change, revision)
+		c.withdrawPromotion(ctx, record.Group, g, record, change, revision)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return &outcome{record: record.afterPromotion(candidate.ID, status.Term, candidateStatus.Received), revision: revision}, nil
+	return &outcome{record: record.afterPromotion(candidate.member.ID, status.Term, candidate.status.Received), revision: revision}, nil
 }
 
-// mayInterfere reports whether the promotion of a member may interfere with that of another one
-// which an earlier leader has requested and which may still take effect. A repeated promotion of
-// the same member does not.
-func (c *Controller) mayInterfere(g *ledGroup, change Change, candidate string) bool {
-	return g.inheritedChange == change.ID && change.Promoting != "" && change.Promoting != candidate &&
-		c.now()-g.tookOverAt < inheritedPromotionTimeout
+// promotionPending reports whether a requested promotion of the change may still take effect. Until
+// then no other member may become the primary. A repeated promotion of the same member does no harm.
+func (c *Controller) promotionPending(g *ledGroup, change Change) bool {
+	switch now := c.now(); {
+	case change.Promoting == "":
+		return false
+	case g.requestedChange == change.ID && now-g.requestedAt < promotionTimeout:
+		return true
+	default:
+		return g.inheritedChange == change.ID && now-g.tookOverAt < inheritedPromotionTimeout
+	}
 }
 
 // withdrawPromotion records that no promotion is requested any more, so that the old primary may
@@ -333,27 +344,39 @@
 	sleep(ctx, storeRetryPause)
 }
 
-// promote asks the platform to make a member the primary and waits until it is.
-func (c *Controller) promote(ctx context.Context, record Record, candidate topology.Member, position group.Position) (member.Status, error) {
+// promote asks the platform to make a member the primary and waits until it is. The member that is
+// the primary already, as far as the platform knows, stays in its term.
+func (c *Controller) promote(ctx context.Context, g *ledGroup, record Record, change Change, candidate memberStatus) (member.Status, error) {
 	promoteCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	defer cancel()
-	err := c.promoter.Promote(promoteCtx, record.Group, candidate.ID, c.self.Name, record.Generation)
+	callErr := c.promoter.Promote(promoteCtx, record.Group, candidate.member.ID, c.self.Name, record.Generation)
 	c.log.WithFields(logrus.Fields{
-		"group": record.Group, "member": candidate.ID, "generation": record.Generation, "position": position.String(), "error": err,
+		"group": record.Group, "member": candidate.member.ID, "generation": record.Generation, "position": candidate.status.Received.String(), "error": callErr,
 	}).Info("lead: the platform was asked to promote")
-	if errors.Is(err, member.ErrPromotionRefused) {
-		return member.Status{}, err
+	if errors.Is(callErr, member.ErrPromotionRefused) {
+		return member.Status{}, callErr
 	}
+	g.requestedChange, g.requestedAt = change.ID, c.now()
 	// After another error the promotion may have happened nevertheless; the member's status
 	// shows it.
-	return c.awaitPromotion(ctx, candidate, record.Term)
+	status, err := c.awaitPromotion(ctx, candidate.member, record.Term)
+	if err == nil || callErr != nil {
+		return status, err
+	}
+	if answer := c.queryMember(ctx, candidate.member); answer != nil && answer.isPrimaryOf(record.Term) {
+		c.log.WithFields(logrus.Fields{"group": record.Group, "member": candidate.member.ID, "term": record.Term}).
+			Info("lead: the platform has kept the old primary")
+		return answer.status, nil
+	}
+	return status, err
 }
 
 // chooseCandidate requests the status of all members until Select decides on one, for at
 // most catchUpTimeout. It returns a member that is already primary in a newer term, the old
 // primary if it is healthy again, or the member with the longest log. That is a draining
-// one only if no other has received the acknowledged commits in time.
-func (c *Controller) chooseCandidate(ctx context.Context, name string, record Record, change Change, grants grantsOutcome) (topology.Member, member.Status, error) {
+// one only if no other has received the acknowledged commits in time. If no member can be
+// promoted in place of the old primary, it is the old primary, which must be promoted again.
+func (c *Controller) chooseCandidate(ctx context.Context, name string, record Record, change Change, grants grantsOutcome) (memberStatus, error) {
 	deadline := c.now() + catchUpTimeout
 	allowDrainingAt := c.now() + receiveTimeout
 	if change.Planned {
@@ -370,15 +393,16 @@
 		best, decided := Select(answers, strict)
 		if !decided {
 			s.AllowShorterLog = c.now() >= deadline
+			s.AllowOldPrimary = s.AllowShorterLog
 			best, decided = Select(answers, s)
 		}
 		if decided {
 			c.logSelection(name, s, answers).WithField("chosen", best.member.ID).Info("lead: a member was chosen as the primary")
-			return best.member, best.status, nil
+			return best, nil
 		}
 		if ctx.Err() != nil || c.now() >= deadline {
 			c.logSelection(name, s, answers).Info("lead: no member can be promoted")
-			return topology.Member{}, member.Status{}, errNoCandidate
+			return memberStatus{}, errNoCandidate
 		}
 		sleep(ctx, pollInterval)
 	}
--- a/internal/lead/controller.go
+++ b/internal/lead/controller.go
@@ -144,6 +144,8 @@
 	announcedAt         time.Duration   // when that change was first known to be in the store
 	inheritedChange     string          // ID of the change that was in progress when this instance took over
 	tookOverAt          time.Duration   // when this instance took over
+	requestedChange     string          // ID of the change in which this instance last requested a promotion
+	requestedAt         time.Duration   // when the call of that request ended
 	lastTakeOver        takeOverAttempt // the last attempt to take over the group
 	primaryMissingSince time.Duration   // when the primary's entry was first found missing; 0: it exists
 	relinquishTriedAt   time.Duration   // when this instance last tried to give up the leadership
--- a/internal/lead/promotion_test.go
+++ b/internal/lead/promotion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,28 +32,38 @@
 	promotionRefused promotionResult = "refused"
 )
 
-// slowPromoter is a platform whose promotions take effect late.
+// slowPromoter is a platform whose promotions take effect late, but within promotionTimeout.
 type slowPromoter struct {
 	*membergroup.Group
-	next    func() promotionResult
-	called  func()   // called before each request is handled
-	pending []string // members whose promotion has not taken effect
-	old     Record   // record when the last request was made
-	record  func() Record
+	next   func() promotionResult
+	called func() // called before each request is handled
+	now    func() time.Duration
+
+	mu       sync.Mutex // guards all below
+	pending  []pendingPromotion
+	requests []string // members whose promotion was requested
+}
+
+// pendingPromotion is a promotion that has not taken effect.
+type pendingPromotion struct {
+	member string
+	due    time.Duration
 }
 
 func (p *slowPromoter) Promote(ctx context.Context, name, id, instance string, token uint64) error {
 	p.called()
-	p.old = p.record()
-	switch p.next() {
+	result, due := p.next(), p.now()+promotionTimeout
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests = append(p.requests, id)
+	switch result {
 	case promotionDone:
-		p.pending = nil
 		return p.Group.Promote(ctx, name, id, instance, token)
 	case promotionPending:
-		p.pending = append(p.pending, id)
+		p.pending = append(p.pending, pendingPromotion{id, due})
 		return nil
 	case promotionLate:
-		p.pending = append(p.pending, id)
+		p.pending = append(p.pending, pendingPromotion{id, due})
 		return context.DeadlineExceeded
 	case promotionLost:
 		return context.DeadlineExceeded
@@ -60,12 +71,25 @@
 	return member.ErrPromotionRefused
 }
 
-// takeEffect carries out the pending promotions.
-func (p *slowPromoter) takeEffect(ctx context.Context) {
-	for _, id := range p.pending {
-		_ = p.Group.Promote(ctx, "g", id, "", 0) // a member that is down is not promoted
+// takeEffect carries out the pending promotions that are due at a time.
+func (p *slowPromoter) takeEffect(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.pending) > 0 && p.pending[0].due <= now {
+		_ = p.Group.Promote(context.Background(), "g", p.pending[0].member, "", 0) // a member that is down is not promoted
+		p.pending = p.pending[1:]
 	}
-	p.pending = nil
+}
+
+// pendingMembers returns the members whose promotion has not taken effect.
+func (p *slowPromoter) pendingMembers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var members []string
+	for _, pending := range p.pending {
+		members = append(members, pending.member)
+	}
+	return members
 }
 
 // fleetOfLeaders is two instances that may lead a group, on one clock that advances with each
@@ -78,6 +102,7 @@
 	envs      []*fakeEnvironment
 	states    []*ledGroup
 	leader    int          // index of the present leader
+	clock     atomic.Int64 // in nanoseconds
 	clockStep atomic.Int64 // by which each reading advances the clock, in nanoseconds
 	ended     bool         // a leader that ends gives up its registration
 	writes    int          // number of writes committed at members
@@ -87,26 +112,36 @@
 	store := memstore.New()
 	f := &fleetOfLeaders{t: t, store: store, ended: true}
 	f.clockStep.Store(int64(time.Second))
-	var clock atomic.Int64
-	clock.Store(int64(time.Minute))
+	f.clock.Store(int64(time.Minute))
 	for _, name := range []string{"a", "b"} {
 		c, env := newControllerFor(t, name, store.Client(), topology.Group{Name: "g"}, "m1", "m2", "m3")
 		if f.promoter == nil {
-			f.promoter = &slowPromoter{Group: c.dialer.(*membergroup.Group), next: func() promotionResult { return promotionDone }, called: func() {}}
+			f.promoter = &slowPromoter{Group: c.dialer.(*membergroup.Group), next: func() promotionResult { return promotionDone }, called: func() {}, now: f.now}
 		}
 		c.dialer, c.promoter = f.promoter.Group, f.promoter
-		c.now = func() time.Duration {
-			return time.Duration(clock.Add(f.clockStep.Load()))
-		}
-		c.server.now = c.now
+		c.now, c.server.now = f.now, f.now
 		f.leaders, f.envs, f.states = append(f.leaders, c), append(f.envs, env), append(f.states, &ledGroup{})
 	}
-	f.promoter.record = f.record
 	f.takeOver(0)
 	f.tick(t.Context())
 	return f
 }
 
+// slow makes the clock so slow that a promotion is still pending when a leader gives up.
+func (f *fleetOfLeaders) slow() { f.clockStep.Store(int64(20 * time.Millisecond)) }
+
+// now advances the clock and returns its time.
+func (f *fleetOfLeaders) now() time.Duration {
+	now := time.Duration(f.clock.Add(f.clockStep.Load()))
+	f.promoter.takeEffect(now)
+	return now
+}
+
+// advance lets time pass.
+func (f *fleetOfLeaders) advance(d time.Duration) {
+	f.promoter.takeEffect(time.Duration(f.clock.Add(int64(d))))
+}
+
 // takeOver ends the leader and makes an instance the leader.
 func (f *fleetOfLeaders) takeOver(n int) {
 	f.store.EndLease(f.envs[f.leader].lease)
@@ -185,11 +220,22 @@
 	}
 }
 
-// returnedToOldPrimary reports whether the record names the primary that a pending promotion
-// replaces, under whatever ID.
-func (f *fleetOfLeaders) returnedToOldPrimary() bool {
-	record, old := f.record(), f.promoter.old
-	return len(f.promoter.pending) > 0 && record.Change == nil && record.Term == old.Term
+// conflict returns why the primary of the record is not the one that the platform's requests lead
+// to, empty if it is or if the record names none.
+func (f *fleetOfLeaders) conflict() string {
+	record := f.record()
+	if record.Change != nil {
+		return ""
+	}
+	for _, id := range f.promoter.pendingMembers() {
+		if id != record.Primary {
+			return fmt.Sprintf("%s is the primary while the promotion of %s may take effect", record.Primary, id)
+		}
+	}
+	if term := f.promoter.Term(); term != record.Term {
+		return fmt.Sprintf("%s is the primary of term %d in the record, and the platform's term is %d", record.Primary, record.Term, term)
+	}
+	return ""
 }
 
 // Guards against the return to an old primary whose successor is being promoted: the leader
@@ -198,18 +244,18 @@
 	for name, ended := range map[string]bool{"its registration is gone": true, "it may still hold a grant": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleetOfLeaders(t)
+			f.slow()
 			ctx, stop := context.WithCancel(t.Context())
 			f.promoter.next = func() promotionResult { return promotionPending }
 			f.promoter.called = stop
 			f.promoter.SetReachability("m1", membergroup.Down)
 			f.beginChange(ctx)
-			must.Len(t, 1, f.promoter.pending)
-			successor := f.promoter.pending[0]
+			must.Len(t, 1, f.promoter.pendingMembers())
+			successor := f.promoter.pendingMembers()[0]
 			f.promoter.SetReachability("m1", membergroup.Reachable)
 
 			f.ended = ended
 			f.takeOver(1)
-			f.clockStep.Store(int64(100 * time.Millisecond)) // slow enough that the old primary is asked while its grants end
 			f.envs[1].view.missingSince["a"] = f.leaders[1].now()
 			f.promoter.called = func() {}
 			f.promoter.next = func() promotionResult { return promotionDone }
@@ -226,12 +272,14 @@
 	for name, entryVanished := range map[string]bool{"its old entry is gone": true, "its old entry still exists": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleetOfLeaders(t)
+			f.slow()
 			ctx, stop := context.WithCancel(t.Context())
 			f.promoter.next = func() promotionResult { return promotionPending }
 			f.promoter.called = stop
 			f.promoter.SetReachability("m1", membergroup.Down)
 			f.beginChange(ctx)
-			must.Len(t, 1, f.promoter.pending)
+			must.Len(t, 1, f.promoter.pendingMembers())
+			old := f.record()
 			f.setReachability(membergroup.Down, "m1")
 			f.returnAs("m1", "m1-restarted", entryVanished)
 
@@ -243,7 +291,7 @@
 			f.setReachability(membergroup.Reachable, "m1-restarted")
 			f.tick(t.Context())
 			must.Nil(t, f.record().Change)
-			must.Greater(t, f.promoter.old.Term, f.record().Term)
+			must.Greater(t, old.Term, f.record().Term)
 		})
 	}
 }
@@ -317,6 +365,105 @@
 	}
 }
 
+// beginAndStop lets the leader request the promotion of a member, which ends as given, and stop.
+func (f *fleetOfLeaders) beginAndStop(result promotionResult) (requested string) {
+	ctx, stop := context.WithCancel(f.t.Context())
+	f.promoter.next = func() promotionResult { return result }
+	f.promoter.called = stop
+	f.promoter.SetReachability("m1", membergroup.Down)
+	f.beginChange(ctx)
+	must.Len(f.t, 1, f.promoter.requests)
+	f.promoter.called = func() {}
+	f.promoter.next = func() promotionResult { return promotionDone }
+	return f.promoter.requests[0]
+}
+
+// Guards against two promotions that take effect one after the other: while one that an earlier
+// leader has requested may take effect, no other member's is requested.
+func TestNextLeaderAwaitsPromotionOfAnotherMember(t *testing.T) {
+	f := newFleetOfLeaders(t)
+	f.slow()
+	requested := f.beginAndStop(promotionLost)
+	f.promoter.SetReachability(requested, membergroup.Down)
+	f.takeOver(1)
+	f.tick(t.Context())
+	must.Eq(t, []string{requested}, f.promoter.requests)
+	f.advance(inheritedPromotionTimeout)
+	f.tick(t.Context())
+	must.Len(t, 2, f.promoter.requests)
+	must.Nil(t, f.record().Change)
+	must.Eq(t, f.promoter.requests[1], f.record().Primary)
+}
+
+// The same holds for a promotion that this leader has requested itself.
+func TestLeaderAwaitsItsOwnPromotionOfAnotherMember(t *testing.T) {
+	f := newFleetOfLeaders(t)
+	f.slow()
+	requested := f.beginAndStop(promotionLost)
+	f.promoter.SetReachability(requested, membergroup.Down)
+	f.tick(t.Context())
+	must.Eq(t, []string{requested}, f.promoter.requests)
+	f.advance(promotionTimeout)
+	f.tick(t.Context())
+	must.Len(t, 2, f.promoter.requests)
+}
+
+// Guards against a group without a primary although the old one is healthy: if no other member can
+// be promoted, the old primary is, once the promotion that was requested cannot take effect any more.
+func TestOldPrimaryLeadsAgainIfNoOtherMemberCan(t *testing.T) {
+	for name, c := range map[string]struct {
+		result  promotionResult
+		newTerm bool
+	}{
+		"the promotion was lost":                          {promotionLost, false},
+		"the successor has led unseen and crashed":        {promotionDone, true},
+		"the successor leads later, and crashes after it": {promotionPending, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetOfLeaders(t)
+			f.slow()
+			before := f.record()
+			requested := f.beginAndStop(c.result)
+			f.promoter.SetReachability("m1", membergroup.Reachable)
+			f.setReachability(membergroup.Down, "m1")
+			if c.result == promotionPending {
+				f.promoter.SetReachability(requested, membergroup.Reachable)
+				f.advance(promotionTimeout)
+				f.promoter.SetReachability(requested, membergroup.Down)
+			}
+			f.takeOver(1)
+			f.tick(t.Context())
+			must.NotNil(t, f.record().Change, must.Sprint("the promotion may still take effect"))
+			f.advance(inheritedPromotionTimeout)
+			f.clockStep.Store(int64(100 * time.Millisecond))
+			f.tick(t.Context())
+			must.Nil(t, f.record().Change)
+			must.Eq(t, "m1", f.record().Primary)
+			must.Eq(t, c.newTerm, f.record().Term > before.Term)
+			must.Eq(t, "", f.conflict())
+			must.Eq(t, []string{requested, "m1"}, f.promoter.requests)
+		})
+	}
+}
+
+// An old primary that is asked for again counts as the platform's primary only if the platform has
+// answered: without an answer its successor may still be.
+func TestOldPrimaryDoesNotLeadAgainWithoutAnswer(t *testing.T) {
+	f := newFleetOfLeaders(t)
+	f.slow()
+	f.beginAndStop(promotionLost)
+	f.promoter.SetReachability("m1", membergroup.Reachable)
+	f.setReachability(membergroup.Down, "m1")
+	f.takeOver(1)
+	f.tick(t.Context())
+	f.advance(inheritedPromotionTimeout)
+	f.clockStep.Store(int64(100 * time.Millisecond))
+	f.promoter.next = func() promotionResult { return promotionLost }
+	f.tick(t.Context())
+	must.Len(t, 2, f.promoter.requests)
+	must.NotNil(t, f.record().Change)
+}
+
 // A new leader returns to an old primary that answers again if no promotion was requested.
 func TestNextLeaderReturnsToOldPrimaryBeforePromotion(t *testing.T) {
 	for name, result := range map[string]promotionResult{"none was requested": "", "it was refused": promotionRefused} {
@@ -348,7 +495,8 @@
 
 // TestNoReturnToOldPrimaryWhilePromotionIsPending draws orders of leaders that stop, promotions that
 // are late, lost or refused, and members that crash and return, the old primary also under a new ID.
-// While a promotion may take effect, the record never names the primary of the old term.
+// While a promotion may take effect, the record never names another primary, and then it names the
+// platform's.
 func TestNoReturnToOldPrimaryWhilePromotionIsPending(t *testing.T) {
 	checks := flag.Lookup("rapid.checks")
 	before := checks.Value.String()
@@ -389,11 +537,11 @@
 			case "take over":
 				f.takeOver(1 - f.leader)
 			case "take effect":
-				f.promoter.takeEffect(ctx)
+				f.advance(promotionTimeout)
 			}
 			stop()
-			if f.returnedToOldPrimary() {
-				rt.Fatalf("%s is the primary again while the promotion of %v may take effect", f.record().Primary, f.promoter.pending)
+			if conflict := f.conflict(); conflict != "" {
+				rt.Fatal(conflict)
 			}
 		}
 	})
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -32,9 +32,11 @@
 //     and therefore asks during verification. Once enough instances have released, no grant
 //     can be attested any more, because the remaining instances are no quorum.
 //   - Before the leader requests a promotion it stores the member in the record. A later leader
-//     reads that, and an earlier one cannot store it any more. So the old primary becomes the
-//     primary again only if no requested promotion can still take effect. The old primary is the
-//     member that leads in the record's term: its process may have restarted under a new ID.
+//     reads that, and an earlier one cannot store it any more. While that promotion may take
+//     effect, no other member becomes the primary. After it the old primary must be promoted
+//     again like any other member, since its successor may have led and crashed unseen. The old
+//     primary is the member that leads in the record's term: its process may have restarted under
+//     a new ID.
 //
 // Consequently, traffic continues while the store is unavailable. An instance that is
 // partitioned or has crashed delays a change by at most GrantValidity plus about a second.
@@ -105,7 +107,7 @@
 	Term       uint64  `json:"term"`    // term in which Primary is the primary
 	Change     *Change `json:"change,omitempty"`
 
-	// TermStart is the end of Primary's log when it was promoted. It contains each commit
+	// TermStart is the end of Primary's log before it was promoted. It contains each commit
 	// that was acknowledged in an earlier term. Zero: unknown.
 	TermStart group.Position `json:"term_start,omitzero"`
 }
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -22,6 +22,7 @@
 	KnownBefore     time.Duration  // unreachable instances know each member that has been known here since before this time
 	SeenRevision    int64          // unreachable instances know each member whose entry has been unchanged since this store revision; 0: unknown
 	AllowShorterLog bool           // promote a member whose log does not reach FinalPosition, instead of waiting longer
+	AllowOldPrimary bool           // promote the old primary again if no other member can be promoted, instead of waiting longer
 	AllowDraining   bool           // promote a draining member if no other has all acknowledged commits, instead of waiting longer
 	DrainingAfter   time.Duration  // a member that has been draining since before this time cannot be replaced in time
 }
@@ -78,6 +79,8 @@
 //     criteria in s allow it.
 //   - If the group replicates synchronously, a member is chosen only if its log contains each
 //     acknowledged commit. If no other member has them all, that can be one that drains.
+//   - Otherwise the old primary is chosen, if the criteria allow it, although it must be
+//     replaced: it has all acknowledged commits. Like a replica it must be promoted first.
 //
 // A member that is still primary in an earlier term missed its successor's promotion and
 // counts as a replica. It is returned with Primary unset and must be promoted first. While
@@ -88,6 +91,14 @@
 	if primary, ok := s.findPrimary(answers); ok {
 		return primary, true
 	}
+	if best, found := s.findSuccessor(answers); found {
+		return best, true
+	}
+	return s.findOldPrimary(answers)
+}
+
+// findSuccessor returns the replica that should replace the old primary.
+func (s Selection) findSuccessor(answers []memberStatus) (memberStatus, bool) {
 	replicas := s.replicas(answers)
 	if s.SyncReplicas == 0 {
 		required := s.FinalPosition
@@ -111,6 +122,18 @@
 	return s.longestLog(replicas, required, s.leadsUntilDrained)
 }
 
+// findOldPrimary returns the old primary, with Primary unset, if it can be promoted again.
+func (s Selection) findOldPrimary(answers []memberStatus) (memberStatus, bool) {
+	for _, m := range answers {
+		hasAllCommits := m.isPrimaryOf(s.Term) || s.SyncReplicas == 0
+		if s.AllowOldPrimary && s.isOldPrimary(m) && hasAllCommits && !m.member.Draining {
+			m.status.Primary = false
+			return m, true
+		}
+	}
+	return memberStatus{}, false
+}
+
 // findPrimary returns the member with the newest term that is primary and need not be
 // replaced.
 func (s Selection) findPrimary(answers []memberStatus) (memberStatus, bool) {
@@ -126,7 +149,7 @@
 }
 
 // replicas returns the members that answered and count as replicas. An old primary that must be
-// replaced does not, because it must not be promoted again.
+// replaced does not.
 func (s Selection) replicas(answers []memberStatus) []memberStatus {
 	var replicas []memberStatus
 	for _, m := range answers {
--- a/internal/lead/select_test.go
+++ b/internal/lead/select_test.go
@@ -61,6 +61,10 @@
 		f.status.Term, f.status.Received.Term = 2, 2
 		return f
 	}
+	again := requested
+	again.AllowOldPrimary = true
+	syncAgain := again
+	syncAgain.SyncReplicas = 1
 	syncNewID := synced
 	syncNewID.Replaced, syncNewID.Replicas = true, 3
 	for name, c := range map[string]struct {
@@ -83,6 +87,13 @@
 		"the old primary is healthy under a new ID":            {[]memberStatus{replica("a", 3), primary("new", 1)}, base, "new"},
 		"the old primary must be replaced under a new ID":      {[]memberStatus{replica("a", 3), primary("new", 1)}, requested, "a"},
 		"the old primary answers alone under a new ID":         {[]memberStatus{primary("new", 1)}, requested, ""},
+		"the old primary may be promoted again":                {[]memberStatus{primary("old", 1)}, again, "old"},
+		"it may be, under a new ID":                            {[]memberStatus{primary("new", 1)}, again, "new"},
+		"it may be, and is a replica now":                      {[]memberStatus{replica("old", 1)}, again, "old"},
+		"it may be, but drains":                                {[]memberStatus{draining(primary("old", 1))}, again, ""},
+		"it may be, but another member can be promoted":        {[]memberStatus{primary("old", 1), replica("a", 3)}, again, "a"},
+		"sync: the old primary has all commits":                {[]memberStatus{primary("old", 1), replica("a", 3)}, syncAgain, "old"},
+		"sync: the old primary is a replica, perhaps restored": {[]memberStatus{replica("old", 1), replica("a", 3)}, syncAgain, ""},
 		"the old primary drains under a new ID":                {[]memberStatus{replica("a", 3), draining(primary("new", 1))}, base, "a"},
 		"the old primary is now a replica":                     {[]memberStatus{replica("a", 8), replica("old", 9)}, base, "old"},
 		"a stale primary of an earlier term, answers first":    {[]memberStatus{primary("stale", 1), inSecond("a", 3)}, second, "a"},
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -269,6 +269,13 @@
 	return g.currentPrimary().id
 }
 
+// Term returns the newest term.
+func (g *Group) Term() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.nextTerm - 1
+}
+
 // Log returns the log of the primary.
 func (g *Group) Log() []Write {
 	g.mu.Lock()
@@ -339,8 +346,8 @@
 	})
 }
 
-// Promote implements lead.Promoter. It succeeds without effect if the member is a
-// primary already.
+// Promote implements lead.Promoter. It succeeds without effect if the member is the
+// present primary.
 func (g *Group) Promote(_ context.Context, _, id, instance string, token uint64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -349,7 +356,7 @@
 	if m == nil || m.reachability == Down {
 		return fmt.Errorf("%w: member %s is not running", member.ErrPromotionRefused, id)
 	}
-	if m.primary {
+	if m.primary && g.currentPrimary() == m {
 		return nil
 	}
 	g.dropAllBut(m.log)
