lead: store where a term begins with the request of its promotion

Callers would see a synchronous group without a primary for good: a leader that found the requested promotion done after clients had written stored the present end of the log as the start of the term. If that member is gone for good before its last, unacknowledged entries were received, no log reaches that start.

The end of the member's log is stored with the request and read by any later leader. Without a request in this change the start stays unknown.

TestReplicasCoverTermWhosePrimaryIsGone and TestNextLeaderStoresStartOfTerm fail with the present end of the log in its place.

--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -286,7 +286,7 @@
 		return nil, err
 	}
 	if candidate.status.Primary {
-		record = record.afterPromotion(candidate.member.ID, candidate.status.Term, candidate.status.Received)
+		record = record.afterPromotion(candidate.member.ID, candidate.status.Term, change.termStart(candidate.member.ID))
 		return &outcome{record: record, revision: revision}, nil
 	}
 	if change.Promoting != candidate.member.ID && c.promotionPending(g, change) {
@@ -301,7 +301,7 @@
 	requestedBefore := change.Promoting
 	if requestedBefore != candidate.member.ID || g.leadershipProvenAt == 0 || c.now()-g.leadershipProvenAt > maxLeadershipProofAge {
 		// The write succeeds only while this instance is the leader, and a later leader reads it.
-		change.Promoting = candidate.member.ID
+		change.Promoting, change.PromotingFrom = candidate.member.ID, candidate.status.Received
 		announced := record
 		announced.Change = &change
 		var err error
@@ -316,7 +316,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &outcome{record: record.afterPromotion(candidate.member.ID, status.Term, candidate.status.Received), revision: revision}, nil
+	return &outcome{record: record.afterPromotion(candidate.member.ID, status.Term, change.PromotingFrom), revision: revision}, nil
 }
 
 // promotionPending reports whether a requested promotion of the change may still take effect. Until
--- a/internal/lead/promotion_test.go
+++ b/internal/lead/promotion_test.go
@@ -464,6 +464,34 @@
 	must.NotNil(t, f.record().Change)
 }
 
+// A leader that finds the requested promotion done, after clients have written in the new term,
+// stores the position at which that term began, and not the present end of the log.
+func TestNextLeaderStoresStartOfTerm(t *testing.T) {
+	f := newFleetOfLeaders(t)
+	f.slow()
+	f.write("m1")
+	requested := f.beginAndStop(promotionDone)
+	f.write(requested)
+	f.takeOver(1)
+	f.tick(t.Context())
+	must.Eq(t, requested, f.record().Primary)
+	must.Eq(t, group.Position{Term: 1, Index: 1}, f.record().TermStart)
+}
+
+// The start of a term is unknown if a leader did not request its promotion in this change.
+func TestTermStartOfUnexpectedPrimaryIsUnknown(t *testing.T) {
+	f := newFleetOfLeaders(t)
+	f.slow()
+	requested := f.beginAndStop(promotionLost)
+	other := map[string]string{"m2": "m3", "m3": "m2"}[requested]
+	must.NoError(t, f.promoter.Group.Promote(t.Context(), "g", other, "", 0))
+	f.write(other)
+	f.takeOver(1)
+	f.tick(t.Context())
+	must.Eq(t, other, f.record().Primary)
+	must.True(t, f.record().TermStart.IsZero())
+}
+
 // A new leader returns to an old primary that answers again if no promotion was requested.
 func TestNextLeaderReturnsToOldPrimaryBeforePromotion(t *testing.T) {
 	for name, result := range map[string]promotionResult{"none was requested": "", "it was refused": promotionRefused} {
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -92,6 +92,19 @@
 	// effect at any time, so that the old primary must not become the primary again: the change
 	// ends only with a member that is primary in a newer term.
 	Promoting string `json:"promoting,omitempty"`
+
+	// PromotingFrom is the end of that member's log before the request. It contains each commit
+	// that was acknowledged before.
+	PromotingFrom group.Position `json:"promoting_from,omitzero"`
+}
+
+// termStart returns the end of a member's log before its promotion in this change, zero if that is
+// unknown.
+func (c Change) termStart(member string) group.Position {
+	if member != c.Promoting {
+		return group.Position{}
+	}
+	return c.PromotingFrom
 }
 
 // replacesForGood reports whether the old primary cannot stay the primary.
--- a/internal/lead/sync_replicas_test.go
+++ b/internal/lead/sync_replicas_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/stackspindle/stackspindle/internal/account"
+	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
 	"github.com/stackspindle/stackspindle/internal/standin/memstore"
@@ -114,3 +115,26 @@
 	s.controller.startChange(t.Context(), "g", s.state, "the primary's entry is gone", false)
 	must.SliceEmpty(t, s.Promotions(), must.Sprint("m2 does not answer, and may hold acknowledged commits"))
 }
+
+// Guards against a group without a primary for good: a term whose start was stored by a later
+// leader must not demand entries that only its primary, which is gone, had.
+func TestReplicasCoverTermWhosePrimaryIsGone(t *testing.T) {
+	s := newSyncGroup(t)
+	s.write("m1")
+	record, revision := s.env.guard.Record()
+	record.Change = &Change{ID: "x", Promoting: "m2", PromotingFrom: group.Position{Term: 1, Index: 1}}
+	_, err := s.controller.write(t.Context(), "g", s.state, record, revision)
+	must.NoError(t, err)
+	must.NoError(t, s.Promote(t.Context(), "g", "m2", "", 1))
+	s.SetLagging("m1", true)
+	s.SetLagging("m3", true)
+	s.write("m2") // nobody has received it
+	s.controller.watchPrimary(t.Context(), "g", s.state)
+	record, _ = s.env.guard.Record()
+	must.Eq(t, "m2", record.Primary)
+	s.SetReachability("m2", membergroup.Down)
+	s.controller.startChange(t.Context(), "g", s.state, "the primary refuses connections", false)
+	record, _ = s.env.guard.Record()
+	must.Nil(t, record.Change)
+	must.NotEq(t, "m2", record.Primary)
+}
