soak: synchronous groups, faults timed by what happens, members under new IDs

A third group replicates synchronously, and a promoted member that lacks an acknowledged write is a finding. Within a second of a promotion call, a crash, a drain or a stop, a follow-up hits the leader or members of the same group. Members that crash return under a new ID in every second case.

--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -95,6 +95,7 @@
 	nextTerm   uint64
 	promotions []Promotion
 	lag        time.Duration     // delay until replicas apply received writes
+	sync       int               // number of replicas that must have received a commit before it is answered
 	commits    map[string]Commit // every write ever committed, by statement ID
 	runs       []Run             // at most maxRuns
 }
@@ -127,7 +128,8 @@
 func (g *Group) Entry(id string) topology.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return topology.Member{ID: id, Group: g.name, Address: id, Primary: g.members[id].primary, Slots: 3}
+	m := g.members[id]
+	return topology.Member{ID: id, Group: g.name, Address: id, Primary: m != nil && m.primary, Slots: 3}
 }
 
 // Has reports whether a member has this ID.
@@ -144,6 +146,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[id]
+	if m == nil {
+		return // it has returned under another ID
+	}
 	before := m.reachability
 	m.reachability = r
 	switch {
@@ -173,6 +178,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[id]
+	if m == nil {
+		return
+	}
 	m.id, m.reachability = newID, Reachable
 	delete(g.members, id)
 	g.members[newID] = m
@@ -240,11 +248,50 @@
 	g.lag = lag
 }
 
+// SetSyncReplicas sets how many replicas must have received a commit before it is answered.
+func (g *Group) SetSyncReplicas(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sync = n
+}
+
+// awaitReplicas waits until enough replicas have received a write of a member, and reports whether
+// they have before the deadline.
+func (g *Group) awaitReplicas(w Write, deadline time.Time) bool {
+	for {
+		if g.isReplicated(w) {
+			return true
+		}
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(replicationPollInterval)
+	}
+}
+
+// replicationPollInterval is the pause between two checks whether replicas have received a commit.
+const replicationPollInterval = 2 * time.Millisecond
+
+// isReplicated reports whether enough other members have a write in their logs.
+func (g *Group) isReplicated(w Write) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	received := 0
+	for _, m := range g.members {
+		if n := int(w.Position.Index); m.id != w.Member && len(m.log) >= n && m.log[n-1].ID == w.ID {
+			received++
+		}
+	}
+	return received >= g.sync
+}
+
 // SetLagging stops replication to a replica, or resumes it and lets it catch up.
 func (g *Group) SetLagging(id string, lagging bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.members[id].lagging = lagging
+	if m := g.members[id]; m != nil {
+		m.lagging = lagging
+	}
 	g.replicate()
 }
 
@@ -252,7 +299,9 @@
 func (g *Group) LoseAnswers(id string, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.members[id].loseAnswers = n
+	if m := g.members[id]; m != nil {
+		m.loseAnswers = n
+	}
 }
 
 // FailStatements makes the next n statements at a member fail without effect.
@@ -346,6 +395,17 @@
 	})
 }
 
+// ErrNotRunning means that a member that should be promoted is down.
+var ErrNotRunning = fmt.Errorf("%w: the member is not running", member.ErrPromotionRefused)
+
+// Running reports whether a member's process runs.
+func (g *Group) Running(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	return m != nil && m.reachability != Down
+}
+
 // Promote implements lead.Promoter. It succeeds without effect if the member is the
 // present primary.
 func (g *Group) Promote(_ context.Context, _, id, instance string, token uint64) error {
@@ -354,7 +414,7 @@
 	g.promotions = append(g.promotions, Promotion{Member: id, Instance: instance, FencingToken: token})
 	m := g.members[id]
 	if m == nil || m.reachability == Down {
-		return fmt.Errorf("%w: member %s is not running", member.ErrPromotionRefused, id)
+		return fmt.Errorf("member %s: %w", id, ErrNotRunning)
 	}
 	if m.primary && g.currentPrimary() == m {
 		return nil
@@ -458,14 +518,19 @@
 		}
 		c.group.mu.Lock()
 	}
+	committed := len(c.member.log)
 	answer := c.run(req)
+	var last *Write // committed by this request
+	if len(c.member.log) > committed {
+		last = &c.member.log[len(c.member.log)-1]
+	}
 	c.group.recordRun(Run{ID: req.Statement.ID, Member: c.member.id, Account: c.account})
 	lost := c.member.loseAnswers > 0
 	if lost {
 		c.member.loseAnswers--
 	}
 	c.group.mu.Unlock()
-	if lost {
+	if lost || last != nil && !c.group.awaitReplicas(*last, req.Deadline) {
 		return statement.Answer{}, timeOut(req.Deadline)
 	}
 	return answer, nil
--- a/internal/standin/platformstore/platformstore.go
+++ b/internal/standin/platformstore/platformstore.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/stackspindle/stackspindle/internal/kv"
+	"github.com/stackspindle/stackspindle/internal/member"
 	"github.com/stackspindle/stackspindle/internal/standin/memstore"
 )
 
@@ -244,7 +245,11 @@
 		return
 	}
 	if err := s.promote(body.Group, body.Member, r.Header.Get("Duty-Holder"), token); err != nil {
-		http.Error(w, err.Error(), http.StatusConflict)
+		status := http.StatusInternalServerError
+		if errors.Is(err, member.ErrPromotionRefused) {
+			status = http.StatusConflict
+		}
+		http.Error(w, err.Error(), status)
 		return
 	}
 	reply(w, http.StatusOK, map[string]any{})
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,13 @@
 		}
 	}
 	until := time.Now().Add(r.opts.Faults)
+	var followUps []followUp
+	for _, f := range allFollowUps {
+		if f.planned || !r.opts.Planned {
+			followUps = append(followUps, f)
+		}
+	}
+	r.followUps.enable(followUps, r.random(followUpPart), until)
 	var wg sync.WaitGroup
 	for stream := range faultStreams {
 		wg.Add(1)
@@ -58,6 +66,7 @@
 		}()
 	}
 	wg.Wait()
+	r.followUps.wg.Wait()
 }
 
 // recordFault adds a fault to the report, with the time since the start.
@@ -103,35 +112,77 @@
 // randomMemberProxy returns the proxy before a random member.
 func randomMemberProxy(r *run, rnd *rand.Rand) *faultproxy.Proxy {
 	g := r.groups[rnd.IntN(len(r.groups))]
-	return g.proxies[g.ids[rnd.IntN(len(g.ids))]]
+	return g.nodes[rnd.IntN(len(g.nodes))].proxy
 }
 
 // onMember returns a fault that calls f for a member: in half of the cases the primary,
 // otherwise a random member.
-func onMember(f func(g *databaseGroup, id string, duration time.Duration)) func(*run, *rand.Rand, time.Duration) {
+func onMember(f func(r *run, n *node, duration time.Duration)) func(*run, *rand.Rand, time.Duration) {
 	return func(r *run, rnd *rand.Rand, duration time.Duration) {
 		g := r.groups[rnd.IntN(len(r.groups))]
-		id := g.ids[rnd.IntN(len(g.ids))]
+		n := g.nodes[rnd.IntN(len(g.nodes))]
 		if rnd.IntN(2) == 0 {
-			id = g.members.Primary()
+			n = g.primary()
 		}
-		f(g, id, duration)
+		f(r, n, duration)
 	}
 }
 
-// reachabilityFault returns a fault that changes the reachability of a member and restores it
-// afterwards.
-func reachabilityFault(reachability membergroup.Reachability) func(*run, *rand.Rand, time.Duration) {
-	return onMember(func(g *databaseGroup, id string, duration time.Duration) {
-		g.members.SetReachability(id, reachability)
-		if reachability == membergroup.Down {
-			g.proxies[id].Set(faultproxy.Fault{RefuseNew: true})
-			g.proxies[id].Reset()
-		}
-		time.Sleep(duration)
-		g.proxies[id].Set(faultproxy.Fault{})
-		g.members.SetReachability(id, membergroup.Reachable)
-	})
+// crash stops a member's process, and starts it again after the duration, in every second case under
+// a new ID.
+func crash(r *run, n *node, duration time.Duration) {
+	id := n.memberID()
+	n.group.members.SetReachability(id, membergroup.Down)
+	n.proxy.Set(faultproxy.Fault{RefuseNew: true})
+	n.proxy.Reset()
+	r.happened(n.group)
+	time.Sleep(duration)
+	if rand.IntN(2) == 0 {
+		n.startAs(r, id)
+	}
+	n.proxy.Set(faultproxy.Fault{})
+	n.group.members.SetReachability(n.memberID(), membergroup.Reachable)
+}
+
+// startAs starts a member that is down under a new ID, unless another fault has done so.
+func (n *node) startAs(r *run, oldID string) {
+	n.mu.Lock()
+	if n.id != oldID {
+		n.mu.Unlock()
+		return
+	}
+	n.starts++
+	n.id = fmt.Sprintf("%s-start%d", strings.SplitN(oldID, "-start", 2)[0], n.starts)
+	n.group.members.ReturnAs(oldID, n.id)
+	n.server.SetID(n.id)
+	n.mu.Unlock()
+	r.store.Delete("servers/" + oldID)
+	r.putMember(n, "ready")
+}
+
+// silence makes a member answer nothing for the duration.
+func silence(_ *run, n *node, duration time.Duration) {
+	id := n.memberID()
+	n.group.members.SetReachability(id, membergroup.Unresponsive)
+	time.Sleep(duration)
+	n.group.members.SetReachability(id, membergroup.Reachable)
+}
+
+// lag stops replication to a member for the duration.
+func lag(_ *run, n *node, duration time.Duration) {
+	id := n.memberID()
+	n.group.members.SetLagging(id, true)
+	time.Sleep(duration)
+	n.group.members.SetLagging(id, false)
+	n.group.members.SetLagging(n.memberID(), false) // it may have started again under another ID
+}
+
+// drainMember makes a member say that it drains for the duration.
+func drainMember(r *run, n *node, duration time.Duration) {
+	r.putMember(n, "draining")
+	r.happened(n.group)
+	time.Sleep(max(duration, time.Second))
+	r.putMember(n, "ready")
 }
 
 // storeFault returns a fault that applies f to all calls to the store and clears it
@@ -169,7 +220,7 @@
 		time.Sleep(duration)
 		i.signal(syscall.SIGCONT)
 	})},
-	{"an instance is stopped and started", true, onInstance(func(i *instance, _ time.Duration) { i.stop(); i.restart() })},
+	{"an instance is stopped and started", true, onInstance(func(i *instance, _ time.Duration) { i.run.happened(nil); i.stop(); i.restart() })},
 	{"an instance reads its settings again", true, onInstance(func(i *instance, _ time.Duration) { i.signal(syscall.SIGHUP) })},
 	{"all instances are killed", false, func(r *run, _ *rand.Rand, duration time.Duration) {
 		var killed []*instance
@@ -200,14 +251,10 @@
 	{"a member is far", false, onProxy(randomMemberProxy, highLatency)},
 	{"connections to a member are reset", false, resetConns(randomMemberProxy)},
 	{"connections to a member go silent", false, freezeConns(randomMemberProxy)},
-	{"a member crashes", false, reachabilityFault(membergroup.Down)},
-	{"a member is silent", false, reachabilityFault(membergroup.Unresponsive)},
-	{"a member receives nothing", false, onMember(func(g *databaseGroup, id string, duration time.Duration) {
-		g.members.SetLagging(id, true)
-		time.Sleep(duration)
-		g.members.SetLagging(id, false)
-	})},
-	{"a member loses answers", false, onMember(func(g *databaseGroup, id string, _ time.Duration) { g.members.LoseAnswers(id, lostAnswers) })},
+	{"a member crashes", false, onMember(crash)},
+	{"a member is silent", false, onMember(silence)},
+	{"a member receives nothing", false, onMember(lag)},
+	{"a member loses answers", false, onMember(func(_ *run, n *node, _ time.Duration) { n.group.members.LoseAnswers(n.memberID(), lostAnswers) })},
 	{"the store refuses all", false, storeFault(memstore.Faults{Refuse: true})},
 	{"the store loses answers", false, storeFault(memstore.Faults{LoseWrites: lostAnswers})},
 	{"the store is slow", false, func(r *run, _ *rand.Rand, duration time.Duration) {
@@ -218,11 +265,8 @@
 	{"the store forgets its history", false, func(r *run, _ *rand.Rand, _ time.Duration) { r.store.Compact() }},
 	{"the store ends all leases", false, func(r *run, _ *rand.Rand, _ time.Duration) { r.platform.EndLeases() }},
 	{"the configuration changes", true, func(r *run, _ *rand.Rand, _ time.Duration) { r.putConfig() }},
-	{"a member drains and comes back", true, func(r *run, rnd *rand.Rand, duration time.Duration) {
-		g := r.groups[rnd.IntN(len(r.groups))]
-		id := g.members.Primary()
-		r.putMember(g, id, "draining")
-		time.Sleep(max(duration, time.Second))
-		r.putMember(g, id, "ready")
+	{"a primary drains and comes back", true, func(r *run, rnd *rand.Rand, duration time.Duration) {
+		drainMember(r, r.groups[rnd.IntN(len(r.groups))].primary(), duration)
 	}},
+	{"a member drains and comes back", true, onMember(drainMember)},
 }
--- a/internal/standin/soak/outcomes.go
+++ b/internal/standin/soak/outcomes.go
@@ -62,7 +62,8 @@
 
 // checkCommits compares the outcomes reported to clients with the commits at the
 // members. It reports acknowledged writes that are missing although no promotion has
-// dropped them, rejected writes that were committed, and writes committed twice.
+// dropped them, rejected writes that were committed, and writes committed twice. With
+// synchronous replication no promotion may drop an acknowledged write.
 func (r *run) checkCommits(g *databaseGroup) {
 	commits := g.members.Commits()
 	kept := make(map[string]bool)
@@ -72,6 +73,9 @@
 	g.outcomes.mu.Lock()
 	defer g.outcomes.mu.Unlock()
 	for id := range g.outcomes.acknowledged {
+		if g.syncReplicas > 0 && commits[id].Dropped {
+			r.finding("group %s: write %s was acknowledged, and a promoted member lacks it", g.name, id)
+		}
 		if !kept[id] && !commits[id].Dropped {
 			r.finding("group %s: write %s was acknowledged and is gone, though no promotion has dropped it", g.name, id)
 		}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -39,17 +39,20 @@
 
 // Properties of the database groups, their routes and the clients.
 const (
-	membersPerGroup   = 3
-	statementDuration = 5 * time.Millisecond  // duration of a statement at a member
-	replicaLag        = 40 * time.Millisecond // replica lag
-	ampleConns        = 40                    // connection limit of a member: enough for every instance to have some
-	scarceConns       = 10                    // connection limit of a member: only two instances have connections and serve the others
-	maxStaleness      = 2 * time.Second       // staleness bound of the routes that are not strict
-	statementTimeout  = time.Second           // statement timeout and target latency of the routes
-	recoveryTimeout   = 40 * time.Second      // how long after the faults all instances must serve again; grants last 15 to 31 s
-	clientPause       = 10 * time.Millisecond
+	membersPerGroup  = 3
+	replicaLag       = 40 * time.Millisecond // replica lag
+	ampleConns       = 40                    // connection limit of a member: enough for every instance to have some
+	scarceConns      = 10                    // connection limit of a member: only two instances have connections and serve the others
+	maxStaleness     = 2 * time.Second       // staleness bound of the routes that are not strict
+	statementTimeout = time.Second           // statement timeout and target latency of the routes
+	recoveryTimeout  = 40 * time.Second      // how long after the faults all instances must serve again; grants last 15 to 31 s
+	clientPause      = 10 * time.Millisecond
 )
 
+// statementDurations are the durations of a statement at a member, by seed: with the longest one,
+// statements are running at any time at which an instance is stopped.
+var statementDurations = []time.Duration{5 * time.Millisecond, 200 * time.Millisecond, 5 * time.Millisecond, 40 * time.Millisecond}
+
 // Report is the result of a run.
 type Report struct {
 	Seed     uint64
@@ -70,17 +73,48 @@
 	mu      sync.Mutex // guards report, version
 	report  Report
 	version int64 // version of the configuration last written to the store
+
+	followUps followUps
 }
 
 // databaseGroup is a database group whose members are served over TCP, each behind a
 // fault proxy.
 type databaseGroup struct {
-	name      string
-	connLimit int // connection limit of each member
-	members   *membergroup.Group
-	ids       []string
-	proxies   map[string]*faultproxy.Proxy // by member ID
-	outcomes  *outcomes
+	name         string
+	connLimit    int // connection limit of each member
+	syncReplicas int
+	members      *membergroup.Group
+	nodes        []*node
+	outcomes     *outcomes
+}
+
+// node is the process of one member, which may start again under another ID.
+type node struct {
+	group  *databaseGroup
+	server *memberserver.Server
+	proxy  *faultproxy.Proxy
+
+	mu     sync.Mutex // guards all below
+	id     string
+	starts int
+}
+
+// memberID returns the present ID of the member.
+func (n *node) memberID() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.id
+}
+
+// primary returns the node of the primary.
+func (g *databaseGroup) primary() *node {
+	id := g.members.Primary()
+	for _, n := range g.nodes {
+		if n.memberID() == id {
+			return n
+		}
+	}
+	return g.nodes[0] // the primary is starting again under another ID
 }
 
 // Run starts the stand-ins and instances, runs clients while it injects faults, and
@@ -125,7 +159,9 @@
 	if r.platform, err = platformstore.New(r.store, r.promote); err != nil {
 		return err
 	}
-	for _, g := range []*databaseGroup{{name: "plenty", connLimit: ampleConns}, {name: "scarce", connLimit: scarceConns}} {
+	for _, g := range []*databaseGroup{
+		{name: "plenty", connLimit: ampleConns}, {name: "scarce", connLimit: scarceConns}, {name: "synced", connLimit: ampleConns, syncReplicas: 1},
+	} {
 		if err := r.setUpGroup(g); err != nil {
 			return err
 		}
@@ -147,43 +183,39 @@
 
 // setUpGroup starts the members of a group and writes their entries to the store.
 func (r *run) setUpGroup(g *databaseGroup) error {
-	g.proxies, g.outcomes = make(map[string]*faultproxy.Proxy), &outcomes{}
+	g.outcomes = &outcomes{}
+	var ids []string
 	for n := range membersPerGroup {
-		g.ids = append(g.ids, fmt.Sprintf("%s-%d", g.name, n))
+		ids = append(ids, fmt.Sprintf("%s-%d", g.name, n))
 	}
-	g.members = membergroup.New(g.name, g.ids...)
+	g.members = membergroup.New(g.name, ids...)
 	g.members.SetLag(replicaLag)
-	for _, id := range g.ids {
-		server, err := memberserver.New(id, g.members, statementDuration, r.finding)
+	g.members.SetSyncReplicas(g.syncReplicas)
+	duration := statementDurations[r.opts.Seed%uint64(len(statementDurations))]
+	for _, id := range ids {
+		server, err := memberserver.New(id, g.members, duration, r.finding)
 		if err != nil {
 			return err
 		}
-		if g.proxies[id], err = faultproxy.New(server.Addr()); err != nil {
+		proxy, err := faultproxy.New(server.Addr())
+		if err != nil {
 			return err
 		}
-		r.putMember(g, id, "ready")
+		n := &node{group: g, server: server, proxy: proxy, id: id}
+		g.nodes = append(g.nodes, n)
+		r.putMember(n, "ready")
 	}
 	return nil
 }
 
-// promote handles the platform's promotion call.
-func (r *run) promote(name, id, instance string, token uint64) error {
-	for _, g := range r.groups {
-		if g.name == name {
-			return g.members.Promote(context.Background(), name, id, instance, token)
-		}
-	}
-	return fmt.Errorf("no group %q", name)
-}
-
 // putMember writes a member's store entry in the platform's format.
-func (r *run) putMember(g *databaseGroup, id, state string) {
-	role := "replica"
-	if g.members.Entry(id).Primary {
+func (r *run) putMember(n *node, state string) {
+	id, role := n.memberID(), "replica"
+	if n.group.members.Entry(id).Primary {
 		role = "primary"
 	}
 	r.put("servers/"+id, map[string]any{
-		"service": g.name, "address": g.proxies[id].Addr(), "zone": "east", "version": "v1", "capacity": 3, "state": state,
+		"service": n.group.name, "address": n.proxy.Addr(), "zone": "east", "version": "v1", "capacity": 3, "state": state,
 		"cold-remaining-ms": 0, "sequence": 1, "db-role": role,
 	})
 }
@@ -207,7 +239,7 @@
 				"max-staleness-ms": maxStaleness.Milliseconds(),
 			})
 		}
-		services = append(services, map[string]any{"name": g.name, "max-conns": g.connLimit, "sync-replicas": 0})
+		services = append(services, map[string]any{"name": g.name, "max-conns": g.connLimit, "sync-replicas": g.syncReplicas})
 	}
 	r.put("op/config", map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{"tx-idle-ms": 5000}})
 }
@@ -261,8 +293,8 @@
 		i.peerProxy.Close()
 	}
 	for _, g := range r.groups {
-		for _, p := range g.proxies {
-			p.Close()
+		for _, n := range g.nodes {
+			n.proxy.Close()
 		}
 	}
 	if r.platform != nil {
