lead: do not promote the old primary of a synchronous group again

By reading, not seen: a successor may have led and acknowledged commits, its leader stopped before it stored the outcome, and the successor crashed. The old primary, which missed that, was then the candidate of last resort, and lacks those commits. With synchronous replication it cannot acknowledge writes alone anyway, so the group waits for the successor or its replicas.

TestSelect has the case, which fails without the guard. Groups without synchronous replication choose as before.

--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -80,7 +80,8 @@
 //   - If the group replicates synchronously, a member is chosen only if its log contains each
 //     acknowledged commit. If no other member has them all, that can be one that drains.
 //   - Otherwise the old primary is chosen, if the criteria allow it, although it must be
-//     replaced: it has all acknowledged commits. Like a replica it must be promoted first.
+//     replaced. Like a replica it must be promoted first. If the group replicates synchronously
+//     it is not: it lacks what a successor that has led unseen has acknowledged.
 //
 // A member that is still primary in an earlier term missed its successor's promotion and
 // counts as a replica. It is returned with Primary unset and must be promoted first. While
@@ -124,9 +125,11 @@
 
 // findOldPrimary returns the old primary, with Primary unset, if it can be promoted again.
 func (s Selection) findOldPrimary(answers []memberStatus) (memberStatus, bool) {
+	if !s.AllowOldPrimary || s.SyncReplicas > 0 {
+		return memberStatus{}, false
+	}
 	for _, m := range answers {
-		hasAllCommits := m.isPrimaryOf(s.Term) || s.SyncReplicas == 0
-		if s.AllowOldPrimary && s.isOldPrimary(m) && hasAllCommits && !m.member.Draining {
+		if s.isOldPrimary(m) && !m.member.Draining {
 			m.status.Primary = false
 			return m, true
 		}
