--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -65,14 +65,34 @@
 		}, "\n")
 		file := filepath.Join(t.TempDir(), "settings.ini")
 		must.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
-		p.cmd = osexec.Command(binary, "--log-level", "error", "serve", "--config", file)
+		p.cmd = osexec.Command(binary, "--log-level", "warn", "serve", "--config", file)
+		output, err := os.Create(filepath.Join(t.TempDir(), "output.log"))
+		must.NoError(t, err)
+		p.cmd.Stdout, p.cmd.Stderr = output, output
 		must.NoError(t, p.cmd.Start())
-		t.Cleanup(func() { _ = p.cmd.Process.Kill() }) // it may have ended already
+		t.Cleanup(func() {
+			_ = p.cmd.Process.Kill() // it may have ended already
+			logOutput(t, p.name, output)
+		})
 		processes = append(processes, p)
 	}
 	return processes
 }
 
+// maxShownOutput bounds how much of a process's output is shown, in bytes.
+const maxShownOutput = 16 << 10
+
+// logOutput shows the end of a process's output if the test has failed.
+func logOutput(t *testing.T, name string, output *os.File) {
+	defer output.Close()
+	if !t.Failed() {
+		return
+	}
+	raw, err := os.ReadFile(output.Name())
+	must.NoError(t, err)
+	t.Logf("output of %s:\n%s", name, raw[max(0, len(raw)-maxShownOutput):])
+}
+
 // ownerOf returns the process whose heartbeat the first member received last, or nil.
 func ownerOf(fleet *standin.Fleet, processes []*process) *process {
 	name := fleet.Group.Member(0).Owner()
