lead: let the property of promotions draw ones that outlast the attempts

Half of the draws now have a slow clock and end attempts before the promotion is due; the member that was asked for can crash alone; 300 draws instead of 150. TestRefusedRepeatKeepsEarlierRequest guards the withdrawal.

--- a/internal/lead/promotion_test.go
+++ b/internal/lead/promotion_test.go
@@ -378,6 +378,23 @@
 	return f.promoter.requests[0]
 }
 
+// Guards against a withdrawal that forgets an earlier request: a repeated request that is refused
+// does not show that the one before it has no effect.
+func TestRefusedRepeatKeepsEarlierRequest(t *testing.T) {
+	f := newFleetOfLeaders(t)
+	f.slow()
+	requested := f.beginAndStop(promotionPending)
+	f.promoter.SetReachability("m1", membergroup.Reachable)
+	f.takeOver(1)
+	f.promoter.next = func() promotionResult { return promotionRefused }
+	f.tick(t.Context())
+	must.Eq(t, []string{requested, requested}, f.promoter.requests)
+	must.NotNil(t, f.record().Change)
+	must.Eq(t, requested, f.record().Change.Promoting)
+	f.tick(t.Context())
+	must.Eq(t, "", f.conflict())
+}
+
 // Guards against two promotions that take effect one after the other: while one that an earlier
 // leader has requested may take effect, no other member's is requested.
 func TestNextLeaderAwaitsPromotionOfAnotherMember(t *testing.T) {
@@ -521,6 +538,9 @@
 	}
 }
 
+// maxAttempt is the real time after which an attempt ends whose promotion takes effect later.
+const maxAttempt = 30 * time.Millisecond
+
 // TestNoReturnToOldPrimaryWhilePromotionIsPending draws orders of leaders that stop, promotions that
 // are late, lost or refused, and members that crash and return, the old primary also under a new ID.
 // While a promotion may take effect, the record never names another primary, and then it names the
@@ -528,7 +548,7 @@
 func TestNoReturnToOldPrimaryWhilePromotionIsPending(t *testing.T) {
 	checks := flag.Lookup("rapid.checks")
 	before := checks.Value.String()
-	must.NoError(t, checks.Value.Set("150")) // each draws whole changes of primary, which take time
+	must.NoError(t, checks.Value.Set("300")) // each draws whole changes of primary, which take time
 	defer func() { must.NoError(t, checks.Value.Set(before)) }()
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newFleetOfLeaders(t)
@@ -536,13 +556,19 @@
 		f.promoter.next = func() promotionResult { return rapid.SampledFrom(results).Draw(rt, "promotion") }
 		old := "m1"
 		f.promoter.SetReachability(old, membergroup.Down)
-		kinds := []string{"crash", "return", "return under a new ID", "others crash", "others return", "tick", "take over", "take effect"}
+		outlasts := rapid.Bool().Draw(rt, "promotions outlast the attempts")
+		if outlasts {
+			f.clockStep.Store(int64(50 * time.Millisecond))
+		}
+		kinds := []string{"crash", "return", "return under a new ID", "others crash", "successor crashes", "others return", "tick", "take over", "take effect"}
 		steps := append([]string{"change"}, rapid.SliceOfN(rapid.SampledFrom(kinds), 2, 8).Draw(rt, "steps")...)
 		for _, step := range steps {
 			ctx, stop := context.WithCancel(t.Context())
 			f.promoter.called = func() {
 				if rapid.Bool().Draw(rt, "the leader stops") {
 					stop()
+				} else if outlasts {
+					time.AfterFunc(maxAttempt, stop) // the attempt ends before the promotion is due
 				}
 			}
 			switch step {
@@ -556,6 +582,10 @@
 				old += "'"
 			case "others crash":
 				f.setReachability(membergroup.Down, old)
+			case "successor crashes":
+				if requests := f.promoter.requests; len(requests) > 0 && requests[len(requests)-1] != old {
+					f.promoter.SetReachability(requests[len(requests)-1], membergroup.Down)
+				}
 			case "others return":
 				f.setReachability(membergroup.Reachable, old)
 			case "change":
