--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -113,7 +113,8 @@
 var abortedInStop = regexp.MustCompile("^ERROR (BUSY retry after [0-9]+ ms: not run: the instance is stopping|INDOUBT it may have run: )")
 
 // Guards against a planned stop that ends without answering what is still running: when the time
-// for running statements is over, each of them gets a final answer: the transaction was rolled back, or the outcome of a write is unknown, or the statement has not run.
+// for running statements is over, each of them gets a final answer: the transaction was rolled
+// back, or the outcome of a write is unknown, or the statement has not run.
 func TestAbortedStatementsAreAnswered(t *testing.T) {
 	const writers = 40 // more than the members' connections
 	f := newFleet(t, 1)
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -320,7 +320,7 @@
 }
 
 // promotionPending reports whether a requested promotion of the change may still take effect. Until
-// then no other member may become the primary. A repeated promotion of the same member does no harm.
+// then no other member may become the primary. The same request may be repeated.
 func (c *Controller) promotionPending(g *ledGroup, change Change) bool {
 	switch now := c.now(); {
 	case change.Promoting == "":
@@ -344,8 +344,8 @@
 	sleep(ctx, storeRetryPause)
 }
 
-// promote asks the platform to make a member the primary and waits until it is. The member that is
-// the primary already, as far as the platform knows, stays in its term.
+// promote asks the platform to make a member the primary and waits until it is. If the platform
+// considers that member the primary already, it answers the call and the term does not change.
 func (c *Controller) promote(ctx context.Context, g *ledGroup, record Record, change Change, candidate memberStatus) (member.Status, error) {
 	promoteCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	defer cancel()
--- a/internal/lead/promotion_test.go
+++ b/internal/lead/promotion_test.go
@@ -412,7 +412,7 @@
 	must.Eq(t, f.promoter.requests[1], f.record().Primary)
 }
 
-// The same holds for a promotion that this leader has requested itself.
+// Guards against the same if this leader itself has requested the first promotion.
 func TestLeaderAwaitsItsOwnPromotionOfAnotherMember(t *testing.T) {
 	f := newFleetOfLeaders(t)
 	f.slow()
@@ -543,8 +543,8 @@
 
 // TestNoReturnToOldPrimaryWhilePromotionIsPending draws orders of leaders that stop, promotions that
 // are late, lost or refused, and members that crash and return, the old primary also under a new ID.
-// While a promotion may take effect, the record never names another primary, and then it names the
-// platform's.
+// While a promotion may take effect, the record never names another primary. Otherwise, the term of
+// a recorded primary is the platform's.
 func TestNoReturnToOldPrimaryWhilePromotionIsPending(t *testing.T) {
 	checks := flag.Lookup("rapid.checks")
 	before := checks.Value.String()
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -33,10 +33,10 @@
 //     can be attested any more, because the remaining instances are no quorum.
 //   - Before the leader requests a promotion it stores the member in the record. A later leader
 //     reads that, and an earlier one cannot store it any more. While that promotion may take
-//     effect, no other member becomes the primary. After it the old primary must be promoted
-//     again like any other member, since its successor may have led and crashed unseen. The old
-//     primary is the member that leads in the record's term: its process may have restarted under
-//     a new ID.
+//     effect, no other member becomes the primary. Afterwards the old primary must be promoted
+//     again like any other member, since its successor may have been promoted and have crashed
+//     before any leader saw it. The old primary is the member that leads in the record's term:
+//     its process may have restarted under a new ID.
 //
 // Consequently, traffic continues while the store is unavailable. An instance that is
 // partitioned or has crashed delays a change by at most GrantValidity plus about a second.
--- a/internal/lead/select.go
+++ b/internal/lead/select.go
@@ -16,7 +16,7 @@
 	Replaced        bool           // the old primary must be replaced although it is healthy
 	Promoting       string         // member whose promotion was requested last; empty: none
 	FinalPosition   group.Position // end of the old primary's log when it stepped down; zero: unknown
-	Replicas        int            // number of members without that ID
+	Replicas        int            // number of members, without the one that has the ID OldPrimary
 	SyncReplicas    int            // number of replicas that had received each acknowledged commit
 	Unreached       bool           // unreachable instances may still use the old primary, so only members that they know may be promoted
 	KnownBefore     time.Duration  // unreachable instances know each member that has been known here since before this time
@@ -80,8 +80,9 @@
 //   - If the group replicates synchronously, a member is chosen only if its log contains each
 //     acknowledged commit. If no other member has them all, that can be one that drains.
 //   - Otherwise the old primary is chosen, if the criteria allow it, although it must be
-//     replaced. Like a replica it must be promoted first. If the group replicates synchronously
-//     it is not: it lacks what a successor that has led unseen has acknowledged.
+//     replaced. Like a replica it must be promoted first. It is not chosen if the group replicates
+//     synchronously: it may lack commits that were acknowledged in a newer term, by a primary that
+//     is not in the record.
 //
 // A member that is still primary in an earlier term missed its successor's promotion and
 // counts as a replica. It is returned with Primary unset and must be promoted first. While
@@ -152,7 +153,7 @@
 }
 
 // replicas returns the members that answered and count as replicas. An old primary that must be
-// replaced does not.
+// replaced does not: findOldPrimary considers it after all others.
 func (s Selection) replicas(answers []memberStatus) []memberStatus {
 	var replicas []memberStatus
 	for _, m := range answers {
--- a/internal/lead/sync_replicas_test.go
+++ b/internal/lead/sync_replicas_test.go
@@ -128,7 +128,7 @@
 	must.NoError(t, s.Promote(t.Context(), "g", "m2", "", 1))
 	s.SetLagging("m1", true)
 	s.SetLagging("m3", true)
-	s.write("m2") // nobody has received it
+	s.write("m2") // no replica receives it
 	s.controller.watchPrimary(t.Context(), "g", s.state)
 	record, _ = s.env.guard.Record()
 	must.Eq(t, "m2", record.Primary)
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -87,7 +87,8 @@
 
 // Group is one group. It is safe for concurrent use.
 type Group struct {
-	name string
+	name          string
+	stepDownDelay time.Duration // how long a replaced primary carries on once it can reach the new one
 
 	mu         sync.Mutex // guards all below
 	members    map[string]*memberState
@@ -117,7 +118,7 @@
 
 // New returns a group whose first member is the primary, in term 1.
 func New(name string, ids ...string) *Group {
-	g := &Group{name: name, members: make(map[string]*memberState), order: slices.Clone(ids), nextTerm: 2, commits: make(map[string]Commit)}
+	g := &Group{name: name, stepDownDelay: stepDownDelay, members: make(map[string]*memberState), order: slices.Clone(ids), nextTerm: 2, commits: make(map[string]Commit)}
 	for i, id := range ids {
 		g.members[id] = &memberState{id: id, primary: i == 0, term: 1, applied: group.Position{Term: 1}, conns: make(map[*conn]struct{})}
 	}
@@ -166,7 +167,7 @@
 
 // stepDownLater makes a replaced primary a replica after stepDownDelay.
 func (g *Group) stepDownLater(m *memberState) {
-	time.AfterFunc(stepDownDelay, func() {
+	time.AfterFunc(g.stepDownDelay, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.stepDownIfReplaced(m)
--- a/internal/standin/membergroup/membergroup_test.go
+++ b/internal/standin/membergroup/membergroup_test.go
@@ -37,3 +37,21 @@
 	must.False(t, commits["cut"].Stale)
 	must.True(t, commits["stale"].Stale)
 }
+
+// Guards against a stand-in that hides writes at a replaced primary: a reachable old primary carries
+// on after the promotion of another member, and such a write is reported as stale.
+func TestReplacedPrimaryCarriesOn(t *testing.T) {
+	g := New("g", "a", "b")
+	g.stepDownDelay = time.Hour
+	conn, err := g.Dial(t.Context(), topology.Member{ID: "a"}, account.Anonymous)
+	must.NoError(t, err)
+	must.NoError(t, g.Promote(t.Context(), "g", "b", "leader", 1))
+	answer, err := conn.Run(member.Request{Statement: statement.Statement{ID: "late", Kind: statement.Write}, Deadline: time.Now().Add(time.Hour)})
+	must.NoError(t, err)
+	must.Nil(t, answer.Err)
+	must.True(t, g.Commits()["late"].Stale)
+	g.mu.Lock()
+	g.stepDownIfReplaced(g.members["a"]) // as after the delay
+	g.mu.Unlock()
+	must.False(t, g.Entry("a").Primary)
+}
