relay: log and count the inputs of reads that may be stale

A read that was served left no line above debug, and that line had neither the age of the position it had to see, nor the bound, nor the permit. So the record of the incident cannot tell its hypotheses apart.

Both have metrics: stackspindle_primary_answers_total by state and outcome, and stackspindle_required_position_age_seconds. Debug lines of served statements have the same fields. RequiredAt returns when its position was sampled.

--- a/internal/lead/guard.go
+++ b/internal/lead/guard.go
@@ -85,6 +85,10 @@
 // verification by the other members.
 func (p *Permit) Confirmed() bool { return p.State() == Confirmed }
 
+// NewestRecord returns the latest known record of the group and its revision. It differs from the
+// permit's once a change was announced or another primary is known.
+func (p *Permit) NewestRecord() (Record, int64) { return p.guard.Record() }
+
 // Done returns the permit. Further calls have no effect.
 func (p *Permit) Done() {
 	g := p.guard
--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -122,11 +122,11 @@
 		if !ok || at < oldest {
 			continue
 		}
-		if p, ok := samples.RequiredAt(at); ok {
+		if p, _, ok := samples.RequiredAt(at); ok {
 			return p
 		}
 	}
-	if p, ok := g.coarseSamples.RequiredAt(at); ok {
+	if p, _, ok := g.coarseSamples.RequiredAt(at); ok {
 		return p
 	}
 	return g.floors.Highest()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -46,6 +46,8 @@
 
 	lastMember      string         // member that was tried last
 	lastMinPosition group.Position // log position that it had to have reached
+	sampledAt       time.Duration  // when the position was sampled that a read at a replica must see; 0: none was needed
+	permit          *lead.Permit   // under which the final answer came; nil: from a replica
 }
 
 // outcome is the result of trying one member.
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -54,10 +54,11 @@
 // requiredPosition returns the log position that a read must see. It reports false when no sample
 // of the primary's log is recent enough.
 func (a *attempt) requiredPosition() (group.Position, bool) {
-	p, ok := a.group.requiredAt(a.arrived - a.route.MaxStaleness)
+	p, sampledAt, ok := a.group.requiredAt(a.arrived - a.route.MaxStaleness)
 	if !ok {
 		return group.Position{}, false
 	}
+	a.sampledAt = sampledAt
 	if a.route.Consistency == topology.ReadYourWrites {
 		p = group.Max(p, a.group.currentFloor(a.session.floor))
 	}
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -196,6 +196,7 @@
 // permit allows it; see mayPassOn. An open transaction keeps its connection.
 func (a *attempt) finish(t target, conn *leasedConn, answer statement.Answer) (statement.Answer, outcome) {
 	permit := t.permit
+	a.permit = permit
 	if answer.State != statement.Idle {
 		conn.lease.Park()
 		a.session.tx = &transaction{upstream: t.upstream, conn: conn, permit: permit, group: a.group, route: a.route}
--- a/internal/relay/group_state.go
+++ b/internal/relay/group_state.go
@@ -50,8 +50,9 @@
 	g.samples.Add(sentAt, p)
 }
 
-// requiredAt returns a position that covers everything acknowledged up to the given time.
-func (g *groupState) requiredAt(at time.Duration) (group.Position, bool) {
+// requiredAt returns a position that covers everything acknowledged up to the given time, and when
+// it was sampled.
+func (g *groupState) requiredAt(at time.Duration) (p group.Position, sampledAt time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.samples.RequiredAt(at)
--- a/internal/relay/group_state_test.go
+++ b/internal/relay/group_state_test.go
@@ -67,7 +67,7 @@
 				}
 			case "read":
 				at := now - time.Duration(rapid.IntRange(0, 500).Draw(t, "staleness"))*time.Millisecond
-				required, ok := g.requiredAt(at)
+				required, _, ok := g.requiredAt(at)
 				if !ok {
 					continue // goes to the primary
 				}
@@ -87,6 +87,6 @@
 	must.Eq(t, group.Position{}, g.currentFloor(group.Position{Term: 1, Index: 9}))
 	must.Eq(t, group.Position{Term: 2, Index: 9}, g.currentFloor(group.Position{Term: 2, Index: 9}))
 	g.addSample(2*time.Second, group.Position{Term: 1, Index: 50})
-	_, ok := g.requiredAt(time.Second)
+	_, _, ok := g.requiredAt(time.Second)
 	must.False(t, ok, must.Sprint("a sample of an older term is ignored"))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -168,8 +168,9 @@
 	r.metrics.GetOrCreateCounter(`stackspindle_statements_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
 	r.metrics.GetOrCreateHistogram(`stackspindle_statement_seconds{kind="` + kind + `"}`).Update(took.Seconds())
 	if answer.Err == nil {
+		r.recordServedRead(a, answer, took)
 		if r.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
-			r.logEntry(a, outcome, took, 0).Debug("relay: a statement was served")
+			r.logEntry(a, outcome, took, 0).WithField("position", answer.Position.String()).Debug("relay: a statement was served")
 		}
 		return
 	}
@@ -223,14 +224,20 @@
 }
 
 // logEntry returns a log entry with the inputs of the routing decision: account, route,
-// configuration version, the primary with the record that names it, and the member that was tried
-// last.
+// configuration version, the primary with the record that names it, the member that was tried
+// last, and the position that a read had to see with the age of its sample when the read arrived.
 func (r *Relay) logEntry(a *attempt, outcome string, took time.Duration, suppressed int) *logrus.Entry {
 	fields := logrus.Fields{
 		"request": a.st.ID, "account": a.account, "database": a.route.Database, "group": a.route.Group, "kind": consistencyNames[a.route.Consistency],
 		"config_version": r.snapshot().Version, "outcome": outcome, "took_ms": took.Milliseconds(),
 		"read": a.reads, "offered": a.offered, "rounds": a.rounds, "member": a.lastMember, "after": a.lastMinPosition.String(),
-		"sample_age_ms": a.group.sampleAge(r.now()).Milliseconds(),
+		"sample_age_ms": a.group.sampleAge(r.now()).Milliseconds(), "bound_ms": a.route.MaxStaleness.Milliseconds(),
+	}
+	if a.sampledAt > 0 {
+		fields["required_age_ms"] = a.requiredAge().Milliseconds()
+	}
+	if a.permit != nil {
+		fields["permit"], fields["permit_record"] = permitStateNames[a.permit.State()], a.permit.Revision
 	}
 	if ref, err := a.guard.Primary(); err == nil {
 		fields["primary"], fields["term"], fields["record"] = ref.Primary, ref.Term, ref.Revision
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -57,13 +57,11 @@
 // mayPassOn reports whether an answer of the primary may be passed on to the client. If the grant
 // is not confirmed the members are asked; reads is true for an answer to a read.
 func (r *Relay) mayPassOn(g *groupState, permit *lead.Permit, reads bool) bool {
-	switch permit.State() {
-	case lead.Confirmed:
-		return true
-	case lead.Unconfirmed:
-		return r.verify(context.Background(), g, permit.PrimaryRef, reads)
-	}
-	return false
+	state := permit.State()
+	passOn := state == lead.Confirmed ||
+		state == lead.Unconfirmed && r.verify(context.Background(), g, permit.PrimaryRef, reads)
+	r.recordPrimaryAnswer(g, permit, state, reads, passOn)
+	return passOn
 }
 
 // verify reports whether, at some moment after the call, no other member was primary of the group
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -140,7 +140,7 @@
 			s.Add(now, at(index))
 		}
 		asked := time.Duration(rapid.Int64Range(0, int64(now)).Draw(t, "asked"))
-		p, ok := s.RequiredAt(asked)
+		p, _, ok := s.RequiredAt(asked)
 		for _, w := range writes {
 			if ok && w.at <= asked && p.Index < w.index {
 				t.Fatalf("required at %d: %s does not cover the write %d of time %d", asked, p, w.index, w.at)
--- a/internal/routing/samples.go
+++ b/internal/routing/samples.go
@@ -50,17 +50,17 @@
 	return s.ring[s.start].at, s.count > 0
 }
 
-// RequiredAt returns a position that covers everything acknowledged up to a time: that of the
-// first sample taken after it. It returns false when there is no later sample; the caller then
-// requires the highest position.
-func (s *Samples) RequiredAt(at time.Duration) (group.Position, bool) {
+// RequiredAt returns a position that covers everything acknowledged up to a time, and when it was
+// sampled: those of the first sample taken after that time. It returns false when there is no later
+// sample; the caller then requires the highest position.
+func (s *Samples) RequiredAt(at time.Duration) (p group.Position, sampledAt time.Duration, ok bool) {
 	for i := range s.count {
 		entry := s.ring[(s.start+i)%len(s.ring)]
 		if entry.at > at {
-			return entry.position, true
+			return entry.position, entry.at, true
 		}
 	}
-	return group.Position{}, false
+	return group.Position{}, 0, false
 }
 
 // Age returns how long ago p was acknowledged, and false when p is older than the history.
