soak: an instance stands still while primaries change, reads judged by the log

Reproduces the incident with real processes. The soak could not: its standstills ended before the grant of an instance that does not answer lapses (4 s at most, 4.1 s), all routes kept one bound, no client sent BEGIN READ, PREPARE or EXECUTE, replicas never lagged by more than a bound, and a read on a log of a later term passed whatever it lacked.

New: a process is stopped for up to 11 s while primaries drain or fall silent, replicas lag by 3 to 6 s and the store may be far afterwards; all replicas of a group lag; the bound of the routes changes between 1 and 2 s (a read is judged by the loosest that an instance may know); read-only transactions and prepared statements; a read is a finding if its log lacks any acknowledged write that no promotion has dropped, in later terms too. Clients wait for a stopped process for as long as it may stand still. TestCheckReadReportsStaleReads now asks more than before: the writes, not only the term.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -32,6 +32,8 @@
 			&cli.IntFlag{Name: "instances", Value: 5, Usage: "`NUMBER` of processes a run"},
 			&cli.IntFlag{Name: "callers", Value: 20, Usage: "`NUMBER` of callers a run"},
 			&cli.DurationFlag{Name: "faults", Value: 15 * time.Second, Usage: "for how long faults are injected"},
+			&cli.StringFlag{Name: "only", Usage: "inject only faults whose name contains this `TEXT`"},
+			&cli.StringFlag{Name: "binary", Usage: "`PROGRAM` whose processes run; empty: this one"},
 			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for logs; empty: a temporary one"},
 		},
 		Action: runSoak,
@@ -46,9 +48,12 @@
 			return err
 		}
 	}
-	binary, err := os.Executable()
-	if err != nil {
-		return err
+	binary := cmd.String("binary")
+	if binary == "" {
+		var err error
+		if binary, err = os.Executable(); err != nil {
+			return err
+		}
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex // guards failed and the output
@@ -82,9 +87,10 @@
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return soak.Report{Seed: seed}, err
 	}
+	only := cmd.String("only")
 	return soak.Run(ctx, soak.Options{
 		Binary: binary, Dir: folder, Seed: seed, Faults: cmd.Duration("faults"),
-		Instances: cmd.Int("instances"), Clients: cmd.Int("callers"), Planned: seed%plannedSeedInterval == 0,
+		Instances: cmd.Int("instances"), Clients: cmd.Int("callers"), Planned: only == "" && seed%plannedSeedInterval == 0, Only: only,
 	})
 }
 
--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -222,11 +222,18 @@
 // The caller holds mu.
 func (g *Group) stepDownIfReplaced(m *memberState) {
 	if m.reachability == Reachable && m.primary && g.currentPrimary() != m {
-		m.primary = false
+		m.becomeReplica()
 	}
 	g.replicate()
 }
 
+// becomeReplica makes a primary a replica, which has applied all of its own log. The caller holds
+// the group's mu.
+func (m *memberState) becomeReplica() {
+	m.primary = false
+	m.applied = group.Position{Term: m.term, Index: uint64(len(m.log))}
+}
+
 // Commits returns all writes that were ever committed, by statement ID.
 func (g *Group) Commits() map[string]Commit {
 	g.mu.Lock()
@@ -685,7 +692,7 @@
 	}
 	defer c.group.mu.Unlock()
 	if c.member.primary && c.member.term < term {
-		c.member.primary = false
+		c.member.becomeReplica()
 	}
 	return member.Status{Primary: c.member.primary, Term: c.member.term, Received: c.receivedPosition()}, nil
 }
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -17,9 +17,9 @@
 // Limits of the clients.
 const (
 	connectTimeout = time.Second
-	// answerTimeout is several times the statement timeout of the routes. After it no
-	// instance waits for the statement any more.
-	answerTimeout   = 5 * time.Second
+	// answerTimeout is longer than an instance stands still and the statement timeout of the
+	// routes. After it no instance waits for the statement any more.
+	answerTimeout   = maxStandstill + 2*time.Second
 	maxTxStatements = 4 // statements per transaction
 	// minCutOffTime distinguishes a request that was cut off from one that was sent while
 	// the instance was closing the session in an orderly way: only a request that ran
@@ -33,14 +33,15 @@
 	run    *run
 	name   string
 	rnd    *rand.Rand
-	target *instance // the instance to connect to; nil: a random one
+	target *instance // the instance that it connects to
 	lastID int       // number in the last statement ID
 
 	conn   net.Conn
 	reader *bufio.Reader
 	group  *databaseGroup
-	kind   string         // consistency of the route: strict, bounded or own
-	floor  group.Position // of the session's last acknowledged write
+	kind   string              // consistency of the route: strict, bounded or own
+	writes []acknowledgedWrite // of the session
+	ready  bool                // the session has prepared its statements
 }
 
 func newClient(r *run, n int) *client {
@@ -56,13 +57,17 @@
 			c.connect()
 			continue
 		}
-		switch c.rnd.IntN(10) {
+		switch c.rnd.IntN(12) {
 		case 0, 1, 2:
 			c.writeOnce()
 		case 3, 4, 5, 6:
 			c.readOnce()
 		case 7, 8:
 			c.transaction()
+		case 9:
+			c.readTransaction()
+		case 10:
+			c.executePrepared()
 		default:
 			if c.rnd.IntN(5) == 0 {
 				c.disconnect()
@@ -76,19 +81,20 @@
 func (c *client) connect() {
 	c.group = c.run.groups[c.rnd.IntN(len(c.run.groups))]
 	c.kind = []string{"strict", "bounded", "own"}[c.rnd.IntN(3)]
-	c.dial(c.run.instances[c.rnd.IntN(len(c.run.instances))])
+	c.target = c.run.instances[c.rnd.IntN(len(c.run.instances))]
+	c.dial()
 	if c.conn != nil && c.rnd.IntN(2) == 0 {
 		c.query(c.id(), "SET owner "+c.name)
 	}
 }
 
-// dial opens a session at an instance. On failure it leaves the client unconnected.
-func (c *client) dial(i *instance) {
-	conn, err := net.DialTimeout("tcp", i.clientAddr, connectTimeout)
+// dial opens a session at the target. On failure it leaves the client unconnected.
+func (c *client) dial() {
+	conn, err := net.DialTimeout("tcp", c.target.clientAddr, connectTimeout)
 	if err != nil {
 		return // the instance is down
 	}
-	c.conn, c.reader, c.floor = conn, bufio.NewReader(conn), group.Position{}
+	c.conn, c.reader, c.writes, c.ready = conn, bufio.NewReader(conn), nil, false
 	if _, err := fmt.Fprintf(conn, "STARTUP %s-%s\r\n", c.kind, c.group.name); err != nil {
 		c.disconnect()
 		return
@@ -143,12 +149,18 @@
 		c.disconnect()
 		return a
 	}
-	if text != "ROLLBACK" && a.ok() && !strings.HasPrefix(text, "SET") && !strings.HasSuffix(a.receipt, "."+id) {
+	if a.ok() && reachesMember(text) && !strings.HasSuffix(a.receipt, "."+id) {
 		c.run.finding("%s %q was answered with the receipt %q", id, text, a.receipt)
 	}
 	return a
 }
 
+// reachesMember reports whether a member gives the receipt for a statement.
+func reachesMember(text string) bool {
+	word, _, _ := strings.Cut(text, " ")
+	return word != "ROLLBACK" && word != "SET" && word != "PREPARE"
+}
+
 // read reads one answer, up to its READY line.
 func (c *client) read() answer {
 	var a answer
@@ -183,7 +195,7 @@
 func (c *client) write(_ context.Context, g *databaseGroup) bool {
 	c.group, c.kind = g, "strict"
 	if c.conn == nil {
-		c.dial(c.target)
+		c.dial()
 	}
 	return c.conn != nil && c.writeOnce()
 }
@@ -211,7 +223,7 @@
 			if committed.Stale {
 				c.run.finding("write %s was acknowledged, and a replaced primary committed it", id)
 			}
-			c.floor = group.Max(c.floor, committed.Position)
+			c.writes = append(c.writes, acknowledgedWrite{at: time.Now(), id: id, position: committed.Position})
 			c.group.outcomes.acknowledge(id, committed.Position)
 		}
 	case noEffectCodes[a.code]:
@@ -224,28 +236,34 @@
 
 // readOnce runs a single read outside of a transaction and checks its staleness.
 func (c *client) readOnce() {
-	required := c.requiredPosition()
+	required := c.requirement()
 	a := c.query(c.id(), "READ thing")
 	c.checkRead(a, required)
 }
 
-// requiredPosition returns the log position that a read that starts now must at least see:
-// with strict consistency all acknowledged writes, otherwise those acknowledged before
-// the staleness bound, and with own also the session's own writes.
-func (c *client) requiredPosition() group.Position {
-	switch c.kind {
+// requirement is what a read must see.
+type requirement struct {
+	until time.Time           // all writes acknowledged up to this time
+	own   []acknowledgedWrite // and these writes of the session
+}
+
+// requirement returns what a read that starts now must see: with strict consistency all
+// acknowledged writes, otherwise those acknowledged before the staleness bound, and with own
+// also the session's own writes.
+func (c *client) requirement() requirement {
+	switch now := time.Now(); c.kind {
 	case "strict":
-		return c.group.outcomes.acknowledgedBy(time.Now())
+		return requirement{until: now}
 	case "own":
-		return group.Max(c.floor, c.group.outcomes.acknowledgedBy(time.Now().Add(-maxStaleness)))
+		return requirement{until: now.Add(-c.run.loosestBound()), own: c.writes}
+	default:
+		return requirement{until: now.Add(-c.run.loosestBound())}
 	}
-	return c.group.outcomes.acknowledgedBy(time.Now().Add(-maxStaleness))
 }
 
-// checkRead compares the log position that a read ran at with the required one. A log
-// of a later term passes whatever its length, since the promotion that began the term
-// decided which writes it has.
-func (c *client) checkRead(a answer, required group.Position) {
+// checkRead compares the log that a read ran on with the writes that it had to see. Writes that
+// a promotion has dropped need not be seen.
+func (c *client) checkRead(a answer, required requirement) {
 	if !a.ok() {
 		c.run.count("reads not served")
 		return
@@ -258,15 +276,63 @@
 		c.run.finding("a read of %s brought %q: %v", c.name, a.row, err)
 		return
 	}
-	if t < required.Term || t == required.Term && i < required.Index {
-		c.run.finding("a read of %s on a %s route ran on the log up to %s, and had to see %s", c.name, c.kind, a.row, required.String())
+	ran := group.Position{Term: t, Index: i}
+	isDropped := func(id string) bool {
+		committed, ok := c.group.members.Committed(id)
+		return !ok || committed.Dropped
+	}
+	if w, missing := c.group.outcomes.missing(ran, required, isDropped); missing {
+		c.run.finding("a read of %s on a %s route through %s ran on the log of %s up to %s, and had to see %s of %s, acknowledged %s too early to be missing",
+			c.name, c.kind, c.target.name, receiptMember(a.receipt), a.row, w.position.String(), w.id, required.until.Sub(w.at).Round(time.Millisecond))
+	}
+}
+
+// receiptMember returns the member that a receipt names.
+func receiptMember(receipt string) string {
+	member, _, _ := strings.Cut(receipt, ".")
+	return member
+}
+
+// readTransaction runs a read-only transaction, whose reads must see what its start requires.
+func (c *client) readTransaction() {
+	required := c.requirement()
+	if a := c.query(c.id(), "BEGIN READ"); !a.ok() {
+		return
+	}
+	for range 1 + c.rnd.IntN(maxTxStatements) {
+		a := c.query(c.id(), "READ thing")
+		if a.lost {
+			return
+		}
+		c.checkRead(a, required)
+		if a.state != "T" {
+			break
+		}
+	}
+	if c.conn != nil {
+		c.query(c.id(), "COMMIT")
+	}
+}
+
+// executePrepared runs a prepared read or write.
+func (c *client) executePrepared() {
+	if !c.ready {
+		c.ready = c.query(c.id(), "PREPARE get READ shape").ok() && c.query(c.id(), "PREPARE put WRITE shape").ok()
+		return
+	}
+	if c.rnd.IntN(3) == 0 {
+		id := c.id()
+		c.recordOutcome(c.query(id, "EXECUTE put thing "+id), id)
+		return
 	}
+	required := c.requirement()
+	c.checkRead(c.query(c.id(), "EXECUTE get thing"), required)
 }
 
 // transaction runs a transaction of random reads and writes and commits it, or rolls
 // it back in one of five cases.
 func (c *client) transaction() {
-	required := c.requiredPosition()
+	required := c.requirement()
 	if a := c.query(c.id(), "BEGIN"); !a.ok() {
 		return
 	}
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -33,15 +33,21 @@
 	inject func(r *run, rnd *rand.Rand, duration time.Duration)
 }
 
-// inject runs the streams of faults for Options.Faults and waits until all faults
-// have ended.
-func (r *run) inject(ctx context.Context) {
-	var faults []fault
+// kinds returns the kinds of faults that the options allow.
+func (o Options) kinds() []fault {
+	var kinds []fault
 	for _, f := range allFaults {
-		if f.planned || !r.opts.Planned {
-			faults = append(faults, f)
+		if (f.planned || !o.Planned) && strings.Contains(f.name, o.Only) {
+			kinds = append(kinds, f)
 		}
 	}
+	return kinds
+}
+
+// inject runs the streams of faults for Options.Faults and waits until all faults
+// have ended.
+func (r *run) inject(ctx context.Context) {
+	faults := r.opts.kinds()
 	until := time.Now().Add(r.opts.Faults)
 	var followUps []followUp
 	for _, f := range allFollowUps {
@@ -264,7 +270,13 @@
 	}},
 	{"the store forgets its history", false, func(r *run, _ *rand.Rand, _ time.Duration) { r.store.Compact() }},
 	{"the store ends all leases", false, func(r *run, _ *rand.Rand, _ time.Duration) { r.platform.EndLeases() }},
-	{"the configuration changes", true, func(r *run, _ *rand.Rand, _ time.Duration) { r.putConfig() }},
+	{"the configuration changes", true, func(r *run, rnd *rand.Rand, _ time.Duration) {
+		r.putConfig(minStaleness + time.Duration(rnd.Int64N(int64(maxStaleness-minStaleness+1))))
+	}},
+	{"all replicas of a group lag", false, func(r *run, rnd *rand.Rand, duration time.Duration) {
+		lagAll(r.groups[rnd.IntN(len(r.groups))], duration)
+	}},
+	{standstillFault, false, onInstance(standStillDuringChanges)},
 	{"a primary drains and comes back", true, func(r *run, rnd *rand.Rand, duration time.Duration) {
 		drainMember(r, r.groups[rnd.IntN(len(r.groups))].primary(), duration)
 	}},
--- a/internal/standin/soak/outcomes.go
+++ b/internal/standin/soak/outcomes.go
@@ -13,16 +13,25 @@
 type outcomes struct {
 	mu           sync.Mutex // guards all below
 	acknowledged map[string]bool
-	rejected     map[string]bool // rejected with one of noEffectCodes
-	watermarks   []watermark     // in order of time, with ascending positions
+	rejected     map[string]bool     // rejected with one of noEffectCodes
+	writes       []acknowledgedWrite // in order of time
 }
 
-// watermark is the highest log position of all writes acknowledged up to a time.
-type watermark struct {
+// acknowledgedWrite is a write and when it was acknowledged.
+type acknowledgedWrite struct {
 	at       time.Time
+	id       string
 	position group.Position
+	highest  group.Position // highest term and highest index of this write and all before it
 }
 
+// isIn reports whether a log that ends at a position contains the write, unless a promotion has
+// dropped it.
+func (w acknowledgedWrite) isIn(log group.Position) bool { return contains(log, w.position) }
+
+// contains reports whether a log that ends at a position has both the term and the index of another.
+func contains(log, p group.Position) bool { return log.Term >= p.Term && log.Index >= p.Index }
+
 // acknowledge records that a write at a log position was acknowledged now.
 func (l *outcomes) acknowledge(id string, p group.Position) {
 	l.mu.Lock()
@@ -31,9 +40,12 @@
 		l.acknowledged = make(map[string]bool)
 	}
 	l.acknowledged[id] = true
-	if n := len(l.watermarks); n == 0 || l.watermarks[n-1].position.Less(p) {
-		l.watermarks = append(l.watermarks, watermark{at: time.Now(), position: p})
+	w := acknowledgedWrite{at: time.Now(), id: id, position: p, highest: p}
+	if n := len(l.writes); n > 0 {
+		before := l.writes[n-1].highest
+		w.highest = group.Position{Term: max(p.Term, before.Term), Index: max(p.Index, before.Index)}
 	}
+	l.writes = append(l.writes, w)
 }
 
 // reject records that writes were rejected without effect.
@@ -48,16 +60,23 @@
 	}
 }
 
-// acknowledgedBy returns the highest log position of the writes acknowledged up to a
-// time, or the zero position.
-func (l *outcomes) acknowledgedBy(at time.Time) group.Position {
+// missing returns a write that a read had to see and that is not in the log that it ran on. Writes
+// that a promotion has dropped are left out.
+func (l *outcomes) missing(ran group.Position, required requirement, isDropped func(id string) bool) (acknowledgedWrite, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := sort.Search(len(l.watermarks), func(n int) bool { return l.watermarks[n].at.After(at) })
-	if n == 0 {
-		return group.Position{}
+	n := sort.Search(len(l.writes), func(n int) bool { return l.writes[n].at.After(required.until) })
+	for ; n > 0 && !contains(ran, l.writes[n-1].highest); n-- {
+		if w := l.writes[n-1]; !w.isIn(ran) && !isDropped(w.id) {
+			return w, true
+		}
+	}
+	for _, w := range required.own {
+		if !w.isIn(ran) && !isDropped(w.id) {
+			return w, true
+		}
 	}
-	return l.watermarks[n-1].position
+	return acknowledgedWrite{}, false
 }
 
 // checkCommits compares the outcomes reported to clients with the commits at the
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -35,6 +35,8 @@
 	// Planned restricts the faults to planned work: stops, reloads, configuration
 	// changes and draining members. No request may be cut off then.
 	Planned bool
+	// Only restricts the faults to those whose name contains it. Empty: all faults.
+	Only string
 }
 
 // Properties of the database groups, their routes and the clients.
@@ -43,7 +45,8 @@
 	replicaLag       = 40 * time.Millisecond // replica lag
 	ampleConns       = 40                    // connection limit of a member: enough for every instance to have some
 	scarceConns      = 10                    // connection limit of a member: only two instances have connections and serve the others
-	maxStaleness     = 2 * time.Second       // staleness bound of the routes that are not strict
+	minStaleness     = time.Second           // least staleness bound of the routes that are not strict
+	maxStaleness     = 2 * time.Second       // greatest one, and the first
 	statementTimeout = time.Second           // statement timeout and target latency of the routes
 	recoveryTimeout  = 40 * time.Second      // how long after the faults all instances must serve again; grants last 15 to 31 s
 	clientPause      = 10 * time.Millisecond
@@ -70,11 +73,13 @@
 	groups    []*databaseGroup
 	instances []*instance
 
-	mu      sync.Mutex // guards report, version
+	mu      sync.Mutex // guards report, version, bounds
 	report  Report
-	version int64 // version of the configuration last written to the store
+	version int64   // version of the configuration last written to the store
+	bounds  []bound // staleness bounds of the versions, in order
 
-	followUps followUps
+	followUps  followUps
+	standstill sync.Mutex // held while an instance stands still for long
 }
 
 // databaseGroup is a database group whose members are served over TCP, each behind a
@@ -122,6 +127,9 @@
 // Guarantees that did not hold are in the report; an error means that the run could
 // not be set up or was cancelled.
 func Run(ctx context.Context, opts Options) (Report, error) {
+	if len(opts.kinds()) == 0 {
+		return Report{Seed: opts.Seed}, fmt.Errorf("soak: no fault has %q in its name", opts.Only)
+	}
 	r := &run{opts: opts, started: time.Now(), store: memstore.New(), report: Report{Seed: opts.Seed, Counts: make(map[string]int)}}
 	defer r.close()
 	if err := r.setUp(); err != nil {
@@ -167,7 +175,7 @@
 		}
 		r.groups = append(r.groups, g)
 	}
-	r.putConfig()
+	r.putConfig(maxStaleness)
 	for n := range r.opts.Instances {
 		i, err := r.newInstance(n)
 		if err != nil {
@@ -223,12 +231,36 @@
 // kinds has the consistency of the routes by the prefix of their database name.
 var kinds = map[string]string{"strict": "primary", "bounded": "bounded_staleness", "own": "read_your_writes"}
 
-// putConfig writes the configuration with the next version number. Its contents stay
-// the same.
-func (r *run) putConfig() {
+// bound is the staleness bound of the routes that are not strict, from some time on.
+type bound struct {
+	since     time.Time
+	staleness time.Duration
+}
+
+// staleConfigFor is how long after a change of the configuration an instance may still use the
+// former one: while it stands still, and until it has heard of the new one.
+const staleConfigFor = maxStandstill + 3*time.Second
+
+// loosestBound returns the greatest staleness bound that any instance may use now.
+func (r *run) loosestBound() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var loosest time.Duration
+	for n, b := range r.bounds {
+		if n+1 == len(r.bounds) || time.Since(r.bounds[n+1].since) < staleConfigFor {
+			loosest = max(loosest, b.staleness)
+		}
+	}
+	return loosest
+}
+
+// putConfig writes the configuration with the next version number and a staleness bound. The rest
+// of its contents stays the same.
+func (r *run) putConfig(staleness time.Duration) {
 	r.mu.Lock()
 	r.version++
 	version := r.version
+	r.bounds = append(r.bounds, bound{time.Now(), staleness})
 	r.mu.Unlock()
 	var routes, services []map[string]any
 	for _, g := range r.groups {
@@ -236,7 +268,7 @@
 			routes = append(routes, map[string]any{
 				"name": prefix + g.name, "host": prefix + "-" + g.name, "kind": kind, "service": g.name, "priority": 1,
 				"timeout-ms": statementTimeout.Milliseconds(), "target-latency-ms": statementTimeout.Milliseconds(),
-				"max-staleness-ms": maxStaleness.Milliseconds(),
+				"max-staleness-ms": staleness.Milliseconds(),
 			})
 		}
 		services = append(services, map[string]any{"name": g.name, "max-conns": g.connLimit, "sync-replicas": g.syncReplicas})
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -10,6 +10,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/stackspindle/stackspindle/internal/group"
+	"github.com/stackspindle/stackspindle/internal/member"
+	"github.com/stackspindle/stackspindle/internal/standin/membergroup"
+	"github.com/stackspindle/stackspindle/internal/statement"
 )
 
 // failedSeeds has seeds that failed once, with the cause. The timing of a run is not
@@ -21,15 +24,35 @@
 	146: "the same as 106, after the primary drained",
 }
 
-// faultsInTests is how long each test run injects faults. Manual runs use 15 s or
-// more.
-const faultsInTests = 6 * time.Second
+// Durations of the faults in tests. Manual runs take 15 s or more.
+const (
+	faultsInTests     = 6 * time.Second
+	standstillInTests = 20 * time.Second // enough for one standstill or two
+)
 
-// Runs the real program with each seed that has failed before.
-func TestFailedSeeds(t *testing.T) {
+// buildProgram builds the real program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "stackspindle")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/stackspindle/stackspindle/cmd/stackspindle").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
+	return binary
+}
+
+// Guards against reads of a replaced primary through a process that stood still while it was
+// replaced.
+func TestStandstillDuringChangesOfPrimary(t *testing.T) {
+	report, err := Run(t.Context(), Options{
+		Binary: buildProgram(t), Dir: t.TempDir(), Seed: 54, Faults: standstillInTests, Instances: 5, Clients: 40, Only: standstillFault,
+	})
+	must.NoError(t, err)
+	must.SliceEmpty(t, report.Findings, must.Sprintf("faults: %v", report.Faults))
+	must.Positive(t, report.Counts["reads"])
+}
+
+// Runs the real program with each seed that has failed before.
+func TestFailedSeeds(t *testing.T) {
+	binary := buildProgram(t)
 	for seed, cause := range failedSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			report, err := Run(t.Context(), Options{
@@ -45,28 +68,58 @@
 
 func position(term, index uint64) group.Position { return group.Position{Term: term, Index: index} }
 
-// newTestClient returns an unconnected client; tests pass answers to its checks.
-func newTestClient(kind string) *client {
-	r := &run{started: time.Now(), report: Report{Counts: make(map[string]int)}}
-	return &client{run: r, kind: kind, group: &databaseGroup{outcomes: &outcomes{}}}
+// newTestClient returns an unconnected client of a group with a committed write w1 at 1/1, w2 and w3.
+// w3 is dropped by a promotion. Tests pass answers to the client's checks.
+func newTestClient(t *testing.T, kind string) *client {
+	r := &run{started: time.Now(), report: Report{Counts: make(map[string]int)}, bounds: []bound{{staleness: maxStaleness}}}
+	members := membergroup.New("g", "a", "b")
+	commit := func(id string) {
+		conn, err := members.Dial(t.Context(), members.Entry("a"), "")
+		must.NoError(t, err)
+		defer conn.Close()
+		_, err = conn.Run(member.Request{Statement: statement.Statement{ID: id, Kind: statement.Write, Text: id}, Deadline: time.Now().Add(time.Minute)})
+		must.NoError(t, err)
+	}
+	commit("w1")
+	commit("w2")
+	members.SetLagging("b", true)
+	commit("w3")
+	must.NoError(t, members.Promote(t.Context(), "g", "b", "", 1))
+	return &client{run: r, kind: kind, target: &instance{name: "i"}, group: &databaseGroup{members: members, outcomes: &outcomes{}}}
 }
 
-// A read is a finding if its log is too short or of an earlier term. A log of a later
-// term passes, since the promotion that began the term decided which writes it has.
+// A read is a finding if its log lacks an acknowledged write that no promotion has dropped, also if
+// the log is of a later term.
 func TestCheckReadReportsStaleReads(t *testing.T) {
-	for row, found := range map[string]bool{"2.9": false, "2.10": false, "2.8": true, "1.99": true, "3.1": false, "x": true} {
-		c := newTestClient("strict")
-		c.checkRead(answer{row: row, receipt: "r"}, position(2, 9))
+	for row, found := range map[string]bool{"1.2": false, "1.3": false, "1.1": true, "0.99": true, "2.2": false, "2.1": true, "x": true} {
+		c := newTestClient(t, "strict")
+		for n, id := range []string{"w1", "w3", "w2"} {
+			c.group.outcomes.acknowledge(id, position(1, []uint64{1, 3, 2}[n]))
+		}
+		c.checkRead(answer{row: row, receipt: "r"}, c.requirement())
 		must.Eq(t, found, len(c.run.report.Findings) == 1, must.Sprint(row))
 	}
 }
 
-func TestRequiredPosition(t *testing.T) {
-	long := time.Now().Add(-time.Hour)
-	for kind, want := range map[string]group.Position{"strict": position(1, 9), "bounded": position(1, 3), "own": position(1, 5)} {
-		c := newTestClient(kind)
-		c.floor = position(1, 5)
-		c.group.outcomes.watermarks = []watermark{{at: long, position: position(1, 3)}, {at: time.Now(), position: position(1, 9)}}
-		must.Eq(t, want, c.requiredPosition(), must.Sprint(kind))
+func TestRequirement(t *testing.T) {
+	for kind, want := range map[string]string{"strict": "w2", "bounded": "", "own": "w1"} {
+		c := newTestClient(t, kind)
+		c.writes = []acknowledgedWrite{{id: "w1", position: position(1, 1)}}
+		c.group.outcomes.acknowledge("w1", position(1, 1))
+		c.group.outcomes.acknowledge("w2", position(1, 2))
+		required := c.requirement()
+		w, _ := c.group.outcomes.missing(position(1, 0), required, func(string) bool { return false })
+		must.Eq(t, want, w.id, must.Sprint(kind))
+		_, missing := c.group.outcomes.missing(position(1, 2), required, func(string) bool { return false })
+		must.False(t, missing, must.Sprint(kind))
 	}
 }
+
+// An instance that stood still may use the bound of a former configuration.
+func TestLoosestBound(t *testing.T) {
+	now := time.Now()
+	r := &run{bounds: []bound{{now.Add(-time.Hour), 5 * time.Second}, {now.Add(-staleConfigFor - time.Second), 2 * time.Second}, {now, time.Second}}}
+	must.Eq(t, 2*time.Second, r.loosestBound())
+	r.bounds[2].since = now.Add(-staleConfigFor)
+	must.Eq(t, time.Second, r.loosestBound())
+}
