lead: judge a permit by the record that granted it

What callers saw: reads on bounded routes, on strict ones too, that lacked commits acknowledged before; by the tests also commits acknowledged at a replaced primary.

Cause: a permit asked whether the group's newest record is confirmed, not whether the record under which it was issued still holds. An instance that a whole change of primary did not reach (it stood still, or was cut off from the others and the store) may use the old primary meanwhile, verified by the members. When it then learns the outcome, that record is confirmed, and with it, wrongly, every permit for the old primary: answers that were under way are passed on unverified, and their position becomes a sample, so that for up to the bound of a route replicas that lag serve reads too.

Now a record's confirmation counts for the primary that the record grants. Once a change was announced it is the last confirmation before that, because the leader waits until just that has lapsed; a newer term revokes the permit. So an instance behaves as if it had not heard of the change, which is the case that the proof covers.

TestOldPrimaryIsNotUsedAfterPromotion asked for new work only. It fails with the newest confirmation used for a change in progress (1.0 s) and with the terms not compared (0.7 s). TestChangeEndsConfirmationOfPrimary fails with each of the three guards taken out.

--- a/internal/lead/grant.go
+++ b/internal/lead/grant.go
@@ -68,18 +68,44 @@
 // concurrent use.
 type Grant struct {
 	record           Record
-	revision         int64         // of the record; 0: none known
-	storeAnswered    bool          // the store has answered this instance at least once
-	isOutcome        bool          // the record is the outcome of its change, as published by the leader
-	confirmedAt      time.Duration // when the last store call was sent that returned no newer record
-	attestedAt       time.Duration // when the last requests were sent that a quorum answered with an attestation
-	releasedRevision int64         // grants of records before this revision are released
+	revision         int64        // of the record; 0: none known
+	storeAnswered    bool         // the store has answered this instance at least once
+	isOutcome        bool         // the record is the outcome of its change, as published by the leader
+	confirmation     confirmation // of the record
+	beforeChange     confirmation // of the last record before the change in progress
+	releasedRevision int64        // grants of records before this revision are released
+}
+
+// confirmation says when it was last certain that a record was the newest one.
+type confirmation struct {
+	confirmedAt time.Duration // when the last store call was sent that returned no newer record
+	attestedAt  time.Duration // when the last requests were sent that a quorum answered with an attestation
+}
+
+// state returns whether it is certain that no member was promoted to replace the primary of the
+// record, and otherwise whether the members may verify that.
+func (c confirmation) state(now time.Duration) PermitState {
+	switch {
+	case now-c.confirmedAt < AttestedUseLimit && now-max(c.confirmedAt, c.attestedAt) < GrantValidity:
+		return Confirmed
+	case now-c.confirmedAt < UnconfirmedUseLimit:
+		return Unconfirmed
+	}
+	return Revoked
+}
+
+// setRecord replaces the record by a newer one.
+func (g *Grant) setRecord(record Record, revision int64, isOutcome bool) {
+	if record.Change != nil && g.record.Change == nil {
+		g.beforeChange = g.confirmation
+	}
+	g.record, g.revision, g.isOutcome = record, revision, isOutcome
 }
 
 // ApplyRecord applies a record read from the store. Older records are ignored.
 func (g *Grant) ApplyRecord(record Record, revision int64) {
 	if revision > g.revision {
-		g.record, g.revision, g.isOutcome = record, revision, false
+		g.setRecord(record, revision, false)
 	}
 }
 
@@ -87,14 +113,14 @@
 // wrote it to the store. revision is that of the record that announced the change.
 func (g *Grant) ApplyOutcome(record Record, revision int64) {
 	if revision > g.revision || revision == g.revision && !g.isOutcome {
-		g.record, g.revision, g.isOutcome = record, revision, true
+		g.setRecord(record, revision, true)
 	}
 }
 
 // Confirm records that a store call sent at that time returned no record newer than the
 // known one.
 func (g *Grant) Confirm(sent time.Duration) {
-	g.confirmedAt, g.storeAnswered = max(g.confirmedAt, sent), true
+	g.confirmation.confirmedAt, g.storeAnswered = max(g.confirmation.confirmedAt, sent), true
 }
 
 // ConfirmByQuorum records that a quorum of instances, asked at that time, knew of no record
@@ -102,7 +128,7 @@
 // record by now.
 func (g *Grant) ConfirmByQuorum(sent time.Duration, revision int64) {
 	if revision == g.revision {
-		g.attestedAt = max(g.attestedAt, sent)
+		g.confirmation.attestedAt = max(g.confirmation.attestedAt, sent)
 	}
 }
 
@@ -155,7 +181,7 @@
 	case g.revision < g.releasedRevision:
 		return PrimaryRef{}, fmt.Errorf("the grant was released for a change of primary")
 	case g.Expired(now):
-		return PrimaryRef{}, fmt.Errorf("the grant is over: the store was last heard %s ago", now-g.confirmedAt)
+		return PrimaryRef{}, fmt.Errorf("the grant is over: the store was last heard %s ago", now-g.confirmation.confirmedAt)
 	}
 	return ref, nil
 }
@@ -167,13 +193,26 @@
 
 // Confirmed reports whether it is certain that no other member has been promoted.
 func (g *Grant) Confirmed(now time.Duration) bool {
-	return g.storeAnswered && now-g.confirmedAt < AttestedUseLimit && now-max(g.confirmedAt, g.attestedAt) < GrantValidity
+	return g.storeAnswered && g.confirmation.state(now) == Confirmed
+}
+
+// StateOf returns whether an answer of the primary of ref may be passed on now. What confirms a record
+// confirms only the primary that it grants. Once a change was announced, the last confirmation before
+// that counts, since the leader waits only until that has lapsed. ref must have been granted.
+func (g *Grant) StateOf(ref PrimaryRef, now time.Duration) PermitState {
+	switch {
+	case g.record.Term != ref.Term:
+		return Revoked // another member was promoted
+	case g.record.Change != nil:
+		return g.beforeChange.state(now)
+	}
+	return g.confirmation.state(now)
 }
 
 // Expired reports whether the grant has expired: the store has never answered this instance,
 // or its last answer is too old even for verified use of the primary.
 func (g *Grant) Expired(now time.Duration) bool {
-	return !g.storeAnswered || !g.Confirmed(now) && now-g.confirmedAt >= UnconfirmedUseLimit
+	return !g.storeAnswered || g.confirmation.state(now) == Revoked
 }
 
 // Changing returns the change in progress, nil if there is none.
--- a/internal/lead/guard.go
+++ b/internal/lead/guard.go
@@ -72,13 +72,10 @@
 	g := p.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch now := g.now(); {
-	case p.aborted || g.grant.Expired(now):
+	if p.aborted {
 		return Revoked
-	case g.grant.Confirmed(now):
-		return Confirmed
 	}
-	return Unconfirmed
+	return g.grant.StateOf(p.PrimaryRef, g.now())
 }
 
 // Confirmed reports whether an answer that arrives now may be passed on without
--- a/internal/lead/property_test.go
+++ b/internal/lead/property_test.go
@@ -36,11 +36,12 @@
 	callSentAt              time.Duration // when the store call in flight was sent, on this instance's clock
 	responseRevision        int64         // revision of the record that the response will contain
 	responseRecord          Record
-	responseMembers         []string // members that the response will contain
-	members                 []string // members that it knows
-	callInFlight            bool     // a store call is in flight
-	responseMembersRevision int64    // revision of the member list that the response will contain
-	seenMembersRevision     int64    // revision of the member list that its registration reports as seen
+	responseMembers         []string     // members that the response will contain
+	members                 []string     // members that it knows
+	callInFlight            bool         // a store call is in flight
+	responseMembersRevision int64        // revision of the member list that the response will contain
+	seenMembersRevision     int64        // revision of the member list that its registration reports as seen
+	inProgress              []PrimaryRef // work on a primary that holds a permit
 }
 
 func (s *simulatedInstance) now(truth time.Duration) time.Duration {
@@ -63,32 +64,37 @@
 	terms           map[string]uint64        // term in which a member was last promoted
 }
 
-// uses returns the primary whose answers an instance passes on, if any. Either its grant is
-// confirmed, or each other member that it knows replies that it is not primary and knows no
-// newer term, and its primary replies that it is primary. Only members that were promoted
-// are assumed to know their term.
-func (w *simulatedFleet) uses(s *simulatedInstance) (string, bool) {
-	now := s.now(w.trueTime)
-	ref, err := s.grant.Primary(now)
-	if err != nil {
-		return "", false
-	}
-	if s.grant.Confirmed(now) {
-		return ref.Primary, true
+// passesOn reports whether an instance passes on an answer of a primary to work that it began under
+// a grant. Either the permit is confirmed, or each other member that the instance knows replies that
+// it is not primary and knows no newer term, and the primary replies that it is primary. Only members
+// that were promoted are assumed to know their term.
+func (w *simulatedFleet) passesOn(s *simulatedInstance, ref PrimaryRef) bool {
+	switch s.grant.StateOf(ref, s.now(w.trueTime)) {
+	case Confirmed:
+		return true
+	case Revoked:
+		return false
 	}
 	for _, m := range s.members {
 		if m != ref.Primary && (m == w.primary || w.terms[m] > ref.Term) {
-			return "", false
+			return false
 		}
 	}
-	return ref.Primary, !w.steppedDown[ref.Primary]
+	return !w.steppedDown[ref.Primary]
 }
 
-// check fails the test if an instance uses a primary that was replaced.
+// check fails the test if an instance passes on answers of a primary that was replaced, to new work
+// or to work in progress.
 func (w *simulatedFleet) check() {
 	for i, s := range w.instances {
-		if primary, ok := w.uses(s); ok && primary != w.primary {
-			w.t.Fatalf("instance %d uses %s, but %s is primary", i, primary, w.primary)
+		work := s.inProgress
+		if ref, err := s.grant.Primary(s.now(w.trueTime)); err == nil {
+			work = append(slices.Clone(work), ref)
+		}
+		for _, ref := range work {
+			if ref.Primary != w.primary && w.passesOn(s, ref) {
+				w.t.Fatalf("instance %d passes on answers of %s, but %s is primary", i, ref.Primary, w.primary)
+			}
 		}
 	}
 }
@@ -136,6 +142,7 @@
 	for _, s := range w.instances {
 		if rapid.Bool().Draw(w.t, "reached") {
 			s.grant.Release(w.revision)
+			s.inProgress = nil // the release waits until all permits are returned
 			r.addReply(w.leaderNow(), w.reply(s))
 		} else {
 			unreachable = append(unreachable, s)
@@ -145,8 +152,11 @@
 	if len(unreachable) > 0 {
 		for !w.allLapsed(r, unreachable) {
 			w.trueTime += 100 * time.Millisecond
-			if rapid.IntRange(0, 9).Draw(w.t, "something happens") == 0 {
+			switch rapid.IntRange(0, 9).Draw(w.t, "something happens") {
+			case 0:
 				w.steps()
+			case 1:
+				w.revision++ // the leader stores which member it promotes, or another instance takes over
 			}
 		}
 	}
@@ -216,7 +226,7 @@
 	for range rapid.IntRange(0, 6).Draw(w.t, "steps") {
 		w.trueTime += time.Duration(rapid.IntRange(0, 4000).Draw(w.t, "ms")) * time.Millisecond
 		s := w.instances[rapid.IntRange(0, len(w.instances)-1).Draw(w.t, "instance")]
-		switch rapid.SampledFrom([]string{"store", "store", "attest", "gone", "join", "hours"}).Draw(w.t, "what") {
+		switch rapid.SampledFrom([]string{"store", "store", "attest", "begin", "gone", "join", "hours"}).Draw(w.t, "what") {
 		case "join":
 			id := fmt.Sprintf("m%d", len(w.members))
 			w.members = append(w.members, id)
@@ -232,9 +242,14 @@
 			}
 		case "store":
 			w.callStore(s)
+		case "begin":
+			if ref, err := s.grant.Primary(s.now(w.trueTime)); err == nil {
+				s.inProgress = append(s.inProgress, ref)
+			}
 		case "attest":
 			w.attest(s)
 		}
+		w.check()
 	}
 }
 
@@ -315,6 +330,28 @@
 	must.Eq(t, "b", a.Primary)
 }
 
+// Guards against answers of an old primary that pass for confirmed, since a record of a change or of
+// the next primary is.
+func TestChangeEndsConfirmationOfPrimary(t *testing.T) {
+	var g Grant
+	g.ApplyRecord(Record{Primary: "a", Term: 1}, 5)
+	g.Confirm(0)
+	a, err := g.Primary(0)
+	must.NoError(t, err)
+	for n := range 3 { // the leader writes the change again, each of which the store confirms
+		g.ApplyRecord(Record{Primary: "a", Term: 1, Change: &Change{}}, 6+int64(n))
+		g.Confirm(GrantValidity - 1)
+	}
+	must.Eq(t, Confirmed, g.StateOf(a, GrantValidity-1))
+	must.Eq(t, Unconfirmed, g.StateOf(a, GrantValidity))
+	must.Eq(t, Revoked, g.StateOf(a, UnconfirmedUseLimit))
+	stays := g
+	stays.ApplyRecord(Record{Primary: "a", Term: 1}, 9)
+	must.Eq(t, Confirmed, stays.StateOf(a, GrantValidity), must.Sprint("the primary was not replaced"))
+	g.ApplyRecord(Record{Primary: "b", Term: 2}, 9)
+	must.Eq(t, Revoked, g.StateOf(a, GrantValidity-1))
+}
+
 // An outcome published by the leader grants nothing to an instance that the store has never
 // answered, because that instance does not know which members to ask for verification.
 func TestGrantNeedsTheStore(t *testing.T) {
