lead: abort work on a primary as soon as its successor is known

What callers saw: a statement that had been sent to, or waited for, a primary that was replaced without this instance waited until its timeout, although nothing of it could be passed on and the successor could have run it; an open transaction there held its connection.

Cause: work is aborted when the grant becomes unusable. Where the record moves from one primary straight to the next, the grant stays usable, so nothing was aborted.

Now a newer term in the record aborts the permits of earlier ones at once. Evidence: TestWorkOnReplacedPrimaryIsAborted times out without it (a read that m1 never answers) and is answered by m2 with it. Tests of relay and fleet pass.

--- a/internal/lead/guard.go
+++ b/internal/lead/guard.go
@@ -202,10 +202,29 @@
 	defer g.mu.Unlock()
 	change(&g.grant)
 	g.updateUsability()
+	g.abortReplaced()
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
 
+// abortReplaced aborts the work on a primary whose successor is known, since no answer of it can be
+// passed on. The caller holds mu.
+func (g *PrimaryGuard) abortReplaced() {
+	for p := range g.permits {
+		if p.Term < g.grant.record.Term {
+			p.abortOnce()
+		}
+	}
+}
+
+// abortOnce aborts the work, unless it was aborted before. The caller holds the guard's mu.
+func (p *Permit) abortOnce() {
+	if !p.aborted {
+		p.aborted = true
+		go p.abort()
+	}
+}
+
 // Release ends the grants of all records before the one that announces a change, which has
 // this revision. It returns nil once no work on the primary is in progress; work that is
 // still running after drain, or when ctx ends, is aborted. If ctx ends before all aborted
@@ -238,9 +257,8 @@
 	defer g.mu.Unlock()
 	current, err := g.grant.Primary(g.now())
 	for p := range g.permits {
-		if !p.aborted && (err != nil || current.Primary != p.Primary || current.Term != p.Term) {
-			p.aborted = true
-			go p.abort()
+		if err != nil || current.Primary != p.Primary || current.Term != p.Term {
+			p.abortOnce()
 		}
 	}
 }
--- a/internal/relay/superseded_permit_test.go
+++ b/internal/relay/superseded_permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -64,3 +65,22 @@
 	f.group.SetReachability("m1", membergroup.Reachable)
 	must.NotNil(t, f.run(s, statement.Commit, "COMMIT").Err)
 }
+
+// Guards against statements that wait for a replaced primary although its successor could run them.
+func TestWorkOnReplacedPrimaryIsAborted(t *testing.T) {
+	f := newUnconfirmedFixture(t)
+	s := newSession(f.relay, StartupRequest{Database: "strict"})
+	reached, release := f.group.BlockStatements("m1")
+	defer release()
+	answers := make(chan statement.Answer, 1)
+	go func() { answers <- f.run(s, statement.Read, "READ 1") }()
+	<-reached
+	f.replaceUnnoticed(t)
+	select {
+	case a := <-answers:
+		must.Nil(t, a.Err)
+		must.Eq(t, "m2.x", a.Receipt)
+	case <-time.After(generous):
+		t.Fatal("the read waits for the replaced primary")
+	}
+}
