owner: use a lease only for work of its own term

What callers could see: a commit of an earlier term acknowledged, or a read passed on, although another instance owned the group in between.

Cause: awaitLease asked first whether the view is current and then whether the lease is valid, and the lease did not say of which term it is. If the instance loses the group and takes it again between the two questions, the lease of the later term answers for the earlier one. The time within which the answer must be passed on was read a third time, from whichever lease there was by then.

A lease now names its term, and the end that was checked is the one that is passed on.

--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -23,7 +23,7 @@
 		if v.handingOver || !v.serving && !v.claiming {
 			return nil, &refusal{kind: peerpb.Refusal_REFUSAL_NOT_OWNER, detail: "this instance does not own the group", owner: v.owner}
 		}
-		if v.serving && g.leaseLeft() > 0 {
+		if v.serving && g.leaseEnd(v.term) > g.opts.Now() {
 			return v, nil
 		}
 		if v.serving {
@@ -291,19 +291,19 @@
 	}
 }
 
-// awaitLease returns once the lease in the view's term is valid. An expired lease
-// can still be renewed in the same term, so it waits up to ackTimeout for that.
-func (g *Group) awaitLease(ctx context.Context, v *view) error {
+// awaitLease returns the end of the lease in the view's term once that is valid. An expired
+// lease can still be renewed in the same term, so it waits up to ackTimeout for that.
+func (g *Group) awaitLease(ctx context.Context, v *view) (time.Duration, error) {
 	deadline := g.opts.Now() + ackTimeout
 	for {
 		if !g.isCurrent(v) {
-			return unknownOutcome("the primary was replaced before the answer could be passed on")
+			return 0, unknownOutcome("the primary was replaced before the answer could be passed on")
 		}
-		if g.leaseLeft() > 0 {
-			return nil
+		if end := g.leaseEnd(v.term); end > g.opts.Now() {
+			return end, nil
 		}
 		if g.opts.Now() > deadline || ctx.Err() != nil {
-			return unknownOutcome("the instance may not answer for the group any more")
+			return 0, unknownOutcome("the instance may not answer for the group any more")
 		}
 		g.awaitProgress(ctx, g.progress.Load())
 	}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -103,6 +103,12 @@
 	changed chan struct{} // closed when the snapshot is replaced
 }
 
+// termLease is the lease of this instance in one term. It says nothing about work of another term.
+type termLease struct {
+	term uint64
+	end  time.Duration // failover.State.LeaseEnd, on the clock of Options.Now; 0: there is no lease
+}
+
 // Group is one database group on one instance.
 type Group struct {
 	opts Options
@@ -110,10 +116,10 @@
 
 	view         atomic.Pointer[view]
 	progress     atomic.Pointer[progress]
-	leaseEnd     atomic.Int64 // failover.State.LeaseEnd, on the clock of Options.Now
-	rejected     atomic.Int64 // requests rejected because a queue was full or their deadline would pass
-	active       activity     // open transactions
-	primaryReads atomic.Int64 // strict reads that run on the primary
+	lease        atomic.Pointer[termLease] // nil: none yet
+	rejected     atomic.Int64              // requests rejected because a queue was full or their deadline would pass
+	active       activity                  // open transactions
+	primaryReads atomic.Int64              // strict reads that run on the primary
 
 	events  chan failover.Event
 	workers map[string]*worker
@@ -237,12 +243,21 @@
 		Claiming:  v.claiming,
 		Primary:   v.primary,
 		Owner:     v.owner,
-		LeaseLeft: g.leaseLeft(),
+		LeaseLeft: g.leaseEnd(v.term) - g.opts.Now(),
+	}
+}
+
+// leaseEnd returns the end of this instance's lease in a term, 0 if it has none in that term now.
+func (g *Group) leaseEnd(term uint64) time.Duration {
+	if l := g.lease.Load(); l != nil && l.term == term {
+		return l.end
 	}
+	return 0
 }
 
-func (g *Group) leaseLeft() time.Duration {
-	return time.Duration(g.leaseEnd.Load()) - g.opts.Now()
+// publishLease makes the lease of the current term visible to requests.
+func (g *Group) publishLease() {
+	g.lease.Store(&termLease{term: g.state.Term(), end: g.state.LeaseEnd()})
 }
 
 // run is the control loop.
@@ -285,7 +300,7 @@
 	for _, action := range g.state.Step(g.opts.Now(), ev) {
 		g.act(ctx, action)
 	}
-	g.leaseEnd.Store(int64(g.state.LeaseEnd()))
+	g.publishLease()
 	if reply, ok := ev.(failover.Reply); ok && reply.Failure == failover.FailNone {
 		g.recordLag(reply)
 	}
@@ -358,7 +373,7 @@
 		}
 		pools[m.Name] = upstream.NewPool(cfg, g.target(m), a.Term, g.opts.Now)
 	}
-	g.leaseEnd.Store(int64(g.state.LeaseEnd()))
+	g.publishLease()
 	g.publish(&view{term: a.Term, serving: true, writable: true, primary: a.Primary, pools: pools})
 	for name, p := range pools {
 		if !g.state.Leaving(name) {
@@ -393,7 +408,7 @@
 	if a.Terminal {
 		next.serving = false
 		next.pools = nil
-		g.leaseEnd.Store(0)
+		g.lease.Store(nil)
 		g.outageSince = g.opts.Now()
 	}
 	g.publish(&next)
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -303,11 +303,11 @@
 // sets the time within which the answer must be passed on.
 func (s *Stream) confirmLease(ctx context.Context, done *peerpb.Done) error {
 	s.group.opts.FaultHook(StepReply)
-	if err := s.group.awaitLease(ctx, s.view); err != nil {
+	leaseEnd, err := s.group.awaitLease(ctx, s.view)
+	if err != nil {
 		return err
 	}
-	remaining := time.Duration(s.group.leaseEnd.Load()) - s.received
-	done.AckWithinUs = max(remaining.Microseconds(), 1)
+	done.AckWithinUs = max((leaseEnd - s.received).Microseconds(), 1)
 	return nil
 }
 
