--- a/internal/relay/group_state_test.go
+++ b/internal/relay/group_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 
 	"github.com/stackspindle/stackspindle/internal/group"
 	"github.com/stackspindle/stackspindle/internal/routing"
+	"github.com/stackspindle/stackspindle/internal/statement"
+	"github.com/stackspindle/stackspindle/internal/topology"
 )
 
 func init() {
@@ -81,6 +84,74 @@
 	})
 }
 
+// Guards against a bounded read that a replica serves although its log lacks a write which was
+// acknowledged longer ago than the bound of the route, also after a configuration has shortened it.
+func TestBoundedReadSeesWritesOlderThanItsBound(t *testing.T) {
+	f := newFixture(t)
+	f.setBound(generous)
+	s := newSession(f.relay, StartupRequest{Database: "bounded"})
+	must.Eq(t, "m1.x", f.run(s, statement.Read, "READ 1").Receipt, must.Sprint("no sample yet"))
+	f.group.SetLagging("m2", true)
+	time.Sleep(2 * sampleSpacing) // the next sample is not merged with the first
+	w := newSession(f.relay, StartupRequest{Database: "strict"})
+	must.Nil(t, f.run(w, statement.Write, "WRITE 1 x").Err)
+	time.Sleep(2 * sampleSpacing)
+	must.Nil(t, f.run(w, statement.Read, "READ 1").Err) // samples the log with the write
+	const bound = 20 * sampleSpacing
+	time.Sleep(bound)
+	must.Nil(t, f.run(w, statement.Read, "READ 1").Err)
+	must.Eq(t, "m2.x", f.run(s, statement.Read, "READ 1").Receipt, must.Sprint("the write is younger than the bound"))
+	f.setBound(bound)
+	must.Eq(t, "m1.x", f.run(s, statement.Read, "READ 1").Receipt, must.Sprint("the replica lacks the write"))
+}
+
+// Guards against a read that a replica serves although its log lacks a write of the session.
+func TestReplicaWithoutOwnWriteIsNotRead(t *testing.T) {
+	f := newFixture(t)
+	s := newSession(f.relay, StartupRequest{Database: "own"})
+	must.Nil(t, f.run(s, statement.Read, "READ 1").Err)
+	f.group.SetLagging("m2", true)
+	time.Sleep(2 * sampleSpacing) // the next sample is not merged with the first
+	must.Nil(t, f.run(s, statement.Write, "WRITE 1 x").Err)
+	must.Eq(t, "m1.x", f.run(s, statement.Read, "READ 1").Receipt)
+	other := newSession(f.relay, StartupRequest{Database: "own"})
+	must.Eq(t, "m2.x", f.run(other, statement.Read, "READ 1").Receipt, must.Sprint("it need not see the write of another session"))
+}
+
+// setBound changes the staleness bound of the route of the database "bounded".
+func (f *fixture) setBound(bound time.Duration) {
+	state := topology.New(0, 0)
+	config := f.topology().Config
+	config.Version++
+	config.Routes = slices.Clone(config.Routes)
+	for n := range config.Routes {
+		if config.Routes[n].Database == "bounded" {
+			config.Routes[n].MaxStaleness = bound
+		}
+	}
+	state.SetConfig(config)
+	for _, id := range []string{"m1", "m2"} {
+		state.SetMember(0, f.group.Entry(id), false)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snap = state.Snapshot()
+}
+
+// A position of another term than that of the permit is no sample: the member may lead another log.
+func TestSampleHasTermOfPermit(t *testing.T) {
+	f := newFixture(t)
+	permit, err := f.guard.Acquire(func() {})
+	must.NoError(t, err)
+	defer permit.Done()
+	g := f.relay.upstreams.group("g")
+	for _, term := range []uint64{0, 2} {
+		f.relay.recordAnswer(f.relay.upstreams.get("m1"), g, permit, f.relay.now(), statement.Answer{Position: group.Position{Term: term, Index: 7}})
+		_, _, ok := g.requiredAt(0)
+		must.False(t, ok, must.Sprint(term))
+	}
+}
+
 func TestFloorOfEarlierTerm(t *testing.T) {
 	g := &groupState{samples: routing.NewSamples(sampleCount, sampleSpacing)}
 	g.addSample(time.Second, group.Position{Term: 2, Index: 7})
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -45,6 +45,7 @@
 		{Name: "s", Database: "strict", Group: "g", Timeout: generous, LatencyObjective: generous},
 		{Name: "b", Database: "bounded", Group: "g", Consistency: topology.BoundedStaleness, MaxStaleness: generous, Timeout: generous, LatencyObjective: generous},
 		{Name: "h", Database: "hurried", Group: "g", Timeout: 40 * time.Millisecond, LatencyObjective: 40 * time.Millisecond},
+		{Name: "o", Database: "own", Group: "g", Consistency: topology.ReadYourWrites, MaxStaleness: generous, Timeout: generous, LatencyObjective: generous},
 	}})
 	for _, id := range []string{"m1", "m2"} {
 		state.SetMember(0, group.Entry(id), false)
