relay: count a verification only for the primary that was verified

So a write could be sent to a new primary under an unconfirmed grant because the old one had been verified. Nothing false was acknowledged, since each answer is verified after it arrives; the caller heard 'outcome unknown' where a refusal before sending was possible.

The extended TestVerificationBeginsAfterTheAnswer fails with the comparison taken out. Tests of relay pass.

--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -150,6 +150,6 @@
 // maySendToPrimary reports whether the statement may be sent to the primary: it only reads, the
 // grant is confirmed, or the members verified the grant a moment ago or do so now.
 func (a *attempt) maySendToPrimary(permit *lead.Permit) bool {
-	return a.reads || permit.State() == lead.Confirmed || a.group.recentlyVerified(a.now()) ||
+	return a.reads || permit.State() == lead.Confirmed || a.group.recentlyVerified(permit.PrimaryRef, a.now()) ||
 		a.session.relay.verify(a.ctx, a.group, permit.PrimaryRef, false)
 }
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -45,6 +45,7 @@
 	running     bool
 	next        *verificationRound // begins after the running one; nil: no answer waits
 	lastSuccess time.Duration      // end of the last successful round; 0: none
+	verified    lead.PrimaryRef    // the primary that it verified
 }
 
 // probePriority is the priority of the instance's own status requests, ahead of all statements.
@@ -109,7 +110,7 @@
 		r.askMembers(round, g.name)
 		g.mu.Lock()
 		if round.noNewerPrimary {
-			g.verifier.lastSuccess = r.now()
+			g.verifier.lastSuccess, g.verifier.verified = r.now(), round.primaryRef
 		}
 		g.mu.Unlock()
 		close(round.done)
@@ -117,11 +118,11 @@
 	}
 }
 
-// recentlyVerified reports whether a round succeeded within verificationValidity.
-func (g *groupState) recentlyVerified(now time.Duration) bool {
+// recentlyVerified reports whether a round verified this primary within verificationValidity.
+func (g *groupState) recentlyVerified(ref lead.PrimaryRef, now time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.verifier.lastSuccess > 0 && now-g.verifier.lastSuccess < verificationValidity
+	return g.verifier.lastSuccess > 0 && g.verifier.verified == ref && now-g.verifier.lastSuccess < verificationValidity
 }
 
 // askMembers asks all members concurrently, the primary only when an answer to a read waits.
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -115,8 +115,9 @@
 	ref, err := f.guard.Primary()
 	must.NoError(t, err)
 	must.True(t, f.relay.verify(t.Context(), g, ref, true))
-	must.True(t, g.recentlyVerified(f.relay.now()))
-	must.False(t, g.recentlyVerified(f.relay.now()+time.Minute))
+	must.True(t, g.recentlyVerified(ref, f.relay.now()))
+	must.False(t, g.recentlyVerified(ref, f.relay.now()+time.Minute))
+	must.False(t, g.recentlyVerified(lead.PrimaryRef{Primary: "m2", Term: 2, Revision: 3}, f.relay.now()), must.Sprint("another primary"))
 	must.NoError(t, f.group.Promote(t.Context(), "g", "m2", "other", 2))
 	must.False(t, f.relay.verify(t.Context(), g, ref, false))
 }
