e2e: a paused owner's write may succeed at the successor, and only there

The resumed owner learned that it was replaced before the statement was sent and refused it as not run, and the entry ran it at the successor, as its contract allows.

The test asked for an error.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -238,6 +238,7 @@
 	mu       sync.Mutex
 	paused   chan struct{} // non-nil while paused, closed on resume
 	reached  chan struct{} // receives a value when the step is reached
+	replies  int           // answers that the instance has been about to pass on since it was armed
 }
 
 func newPauser() *pauser {
@@ -249,10 +250,19 @@
 
 // arm makes the instance pause when it next reaches the step.
 func (p *pauser) arm(instance int, step owner.Step) {
+	p.mu.Lock()
+	p.replies = 0
+	p.mu.Unlock()
 	p.step.Store(step)
 	p.instance.Store(int64(instance))
 }
 
+func (p *pauser) numReplies() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.replies
+}
+
 func (p *pauser) resume() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -269,6 +279,9 @@
 		return
 	}
 	p.mu.Lock()
+	if s == owner.StepReply {
+		p.replies++
+	}
 	if s != owner.StepControl && s == p.step.Load() && p.paused == nil {
 		p.paused = make(chan struct{})
 		p.step.Store(owner.Step(""))
@@ -283,7 +296,8 @@
 
 // Guards against a stale owner: one that is paused at some step of a write,
 // replaced meanwhile and then resumed must not acknowledge the write. The client
-// gets "outcome unknown" (08007), or "not run" (57P03) if the row does not exist.
+// gets "outcome unknown" (08007), or "not run" (57P03) if the row does not exist. If the
+// owner refuses the write before it has sent it, the instance runs it at the successor.
 func TestOwnerPausedAtEveryStep(t *testing.T) {
 	for _, step := range []owner.Step{owner.StepSend, owner.StepAnswered, owner.StepReply} {
 		t.Run(string(step), func(t *testing.T) {
@@ -305,11 +319,15 @@
 			insertUntilAcknowledged(t, fleet.Instances[other].ClientAddr(), 100)
 			ownerPauser.resume()
 			err := <-result
-			must.Error(t, err)
-			switch sqlState(err) {
-			case "08007":
-			case "57P03":
-				must.Eq(t, 0, countRows(t, connect(t, fleet.Instances[other].ClientAddr(), ""), 1))
+			rows := countRows(t, connect(t, fleet.Instances[other].ClientAddr(), ""), 1)
+			switch {
+			case err == nil:
+				must.Eq(t, owner.StepSend, step, must.Sprint("the old owner had sent the write"))
+				must.Eq(t, 0, ownerPauser.numReplies(), must.Sprint("the old owner passed on an answer"))
+				must.Eq(t, 1, rows)
+			case sqlState(err) == "08007":
+			case sqlState(err) == "57P03":
+				must.Eq(t, 0, rows)
 			default:
 				must.Unreachable(t, must.Sprint(err))
 			}
