--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -17,6 +17,8 @@
 //     GrantValidity, counted from the time at which the store call was sent. While the store
 //     is unavailable, a majority of the registered instances can confirm the grant instead,
 //     by attesting that they know of no newer record.
+//   - Work in progress is judged by the record that granted its primary. A later record may be
+//     confirmed although that primary has been replaced.
 //   - An instance whose grant is no longer confirmed may still use the primary, but must
 //     verify each answer before it passes it on: after the answer has arrived, it asks every
 //     other member of the group that it knows, and each must reply that it is not primary.
