soak: let no other soak on the machine take the address of an instance

What was seen: a run with 150 instances beside another soak had 1,739 findings, the first 'write ... was acknowledged, and no member has committed it', all through instance-19. So the clients of one run spoke to an instance of the other.

Cause: ports were checked for use within a process only; an instance is not listening while it is down. Each process now has a loopback address of its own. No check changes.

--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -53,10 +53,17 @@
 // usedAddrs has the addresses that freeAddr has returned to runs in this process.
 var usedAddrs sync.Map
 
-// freeAddr returns an unused loopback address that no other run in this process uses.
+// loopbackHost returns a loopback address that only this process uses. An instance is not listening
+// before its start and while it is down; another soak that took its port would answer in its place.
+func loopbackHost() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(1+(pid>>16)%254), byte(pid>>8), byte(pid)).String()
+}
+
+// freeAddr returns an unused loopback address that no other run uses.
 func freeAddr() (string, error) {
 	for range maxPortTries {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.N(portCount)))
+		addr := net.JoinHostPort(loopbackHost(), strconv.Itoa(firstPort+rand.N(portCount)))
 		if _, used := usedAddrs.LoadOrStore(addr, true); used {
 			continue
 		}
