soak: show what the instances did when a test fails; a finding that is not traced

The test's folder was gone with the logs. The lines of the leaders and the first findings are printed from now on.

--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +33,31 @@
 	standstillInTests = 20 * time.Second // enough for one standstill or two
 )
 
+// maxLogLines is how many lines of one instance's log are shown when a test has failed.
+const maxLogLines = 60
+
+// logDir returns a folder for logs. If the test fails, it shows what the instances did about changes
+// of primary.
+func logDir(t *testing.T) string {
+	dir := t.TempDir()
+	t.Cleanup(func() {
+		if !t.Failed() {
+			return
+		}
+		names, _ := filepath.Glob(filepath.Join(dir, "*.log")) // the pattern is valid
+		for _, name := range names {
+			content, err := os.ReadFile(name)
+			if err != nil {
+				t.Log(err)
+				continue
+			}
+			lines := slices.DeleteFunc(strings.Split(string(content), "\n"), func(line string) bool { return !strings.Contains(line, `"msg":"lead: `) })
+			t.Logf("%s:\n%s", filepath.Base(name), strings.Join(lines[max(0, len(lines)-maxLogLines):], "\n"))
+		}
+	})
+	return dir
+}
+
 // buildProgram builds the real program and returns its path.
 func buildProgram(t *testing.T) string {
 	t.Helper()
@@ -39,14 +67,23 @@
 	return binary
 }
 
+// maxDescribed is how many findings of a report are described.
+const maxDescribed = 10
+
+// describe returns the first findings of a report, what was counted, and the faults.
+func describe(r Report) string {
+	return fmt.Sprintf("findings: %s\ncounts: %v\nfaults: %v",
+		strings.Join(r.Findings[:min(len(r.Findings), maxDescribed)], "\n"), r.Counts, r.Faults)
+}
+
 // Guards against reads of a replaced primary through a process that stood still while it was
 // replaced.
 func TestStandstillDuringChangesOfPrimary(t *testing.T) {
 	report, err := Run(t.Context(), Options{
-		Binary: buildProgram(t), Dir: t.TempDir(), Seed: 54, Faults: standstillInTests, Instances: 5, Clients: 40, Only: standstillFault,
+		Binary: buildProgram(t), Dir: logDir(t), Seed: 54, Faults: standstillInTests, Instances: 5, Clients: 40, Only: standstillFault,
 	})
 	must.NoError(t, err)
-	must.SliceEmpty(t, report.Findings, must.Sprintf("faults: %v", report.Faults))
+	must.SliceEmpty(t, report.Findings, must.Sprint(describe(report)))
 	must.Positive(t, report.Counts["reads"])
 }
 
@@ -56,10 +93,10 @@
 	for seed, cause := range failedSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			report, err := Run(t.Context(), Options{
-				Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: faultsInTests, Instances: 4, Clients: 8,
+				Binary: binary, Dir: logDir(t), Seed: seed, Faults: faultsInTests, Instances: 4, Clients: 8,
 			})
 			must.NoError(t, err)
-			must.SliceEmpty(t, report.Findings, must.Sprintf("once: %s; faults: %v", cause, report.Faults))
+			must.SliceEmpty(t, report.Findings, must.Sprintf("once: %s; %s", cause, describe(report)))
 			must.Positive(t, report.Counts["acknowledged"])
 			must.Positive(t, report.Counts["reads"])
 		})
