standin: an old primary is not current again once its successor has stepped down

Cause, in the stand-in: the current primary was the one of the highest term among those that act as one. While a planned change has made the primary step down, that can be an old one which is within the second that it carries on; the stand-in then copied its log over the longer ones of a newer term. A member does not follow a primary of an earlier term. What such a primary committed was not marked as stale either, which hid a break of ONE.

Now only the primary of the newest term is current. Evidence: TestOldPrimaryIsNotCurrentAgain fails before at the stale mark, and without that line at the loss of the acknowledged commit.

--- a/internal/standin/membergroup/membergroup.go
+++ b/internal/standin/membergroup/membergroup.go
@@ -319,11 +319,11 @@
 	g.members[id].failStatements = n
 }
 
-// Primary returns the primary with the highest term.
+// Primary returns the primary of the newest term, or the first member if there is none.
 func (g *Group) Primary() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.currentPrimary().id
+	return g.primaryOrFirst().id
 }
 
 // Term returns the newest term.
@@ -337,7 +337,7 @@
 func (g *Group) Log() []Write {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return append([]Write(nil), g.currentPrimary().log...)
+	return append([]Write(nil), g.primaryOrFirst().log...)
 }
 
 // Ran returns the texts of the statements that a member ran, each followed by the
@@ -355,26 +355,31 @@
 	return append([]Promotion(nil), g.promotions...)
 }
 
-// currentPrimary returns the primary with the highest term, or the first member if there is
-// no primary. The caller holds mu.
+// currentPrimary returns the primary of the newest term, or nil if it has stepped down. The caller
+// holds mu.
 func (g *Group) currentPrimary() *memberState {
-	var primary *memberState
 	for _, id := range g.order {
-		if m := g.members[id]; m.primary && (primary == nil || primary.term < m.term) {
-			primary = m
+		if m := g.members[id]; m.primary && m.term == g.nextTerm-1 {
+			return m
 		}
 	}
-	if primary == nil {
-		return g.members[g.order[0]]
+	return nil
+}
+
+// primaryOrFirst returns the primary of the newest term, or the first member if there is none. The
+// caller holds mu.
+func (g *Group) primaryOrFirst() *memberState {
+	if primary := g.currentPrimary(); primary != nil {
+		return primary
 	}
-	return primary
+	return g.members[g.order[0]]
 }
 
 // replicate copies the primary's log to the reachable replicas, unless the primary
 // itself cannot be reached. The caller holds mu.
 func (g *Group) replicate() {
 	primary := g.currentPrimary()
-	if primary.reachability != Reachable || !primary.primary {
+	if primary == nil || primary.reachability != Reachable {
 		return
 	}
 	for _, m := range g.members {
--- a/internal/standin/membergroup/membergroup_test.go
+++ b/internal/standin/membergroup/membergroup_test.go
@@ -55,3 +55,28 @@
 	g.mu.Unlock()
 	must.False(t, g.Entry("a").Primary)
 }
+
+// Guards against a stand-in that loses commits: once the new primary has stepped down too, an old one
+// that still acts as primary must not overwrite the logs of a newer term, and what it commits is stale.
+func TestOldPrimaryIsNotCurrentAgain(t *testing.T) {
+	g := New("g", "a", "b", "c")
+	run := func(id, statementID string) {
+		conn, err := g.Dial(t.Context(), topology.Member{ID: id}, account.Anonymous)
+		must.NoError(t, err)
+		_, err = conn.Run(member.Request{Statement: statement.Statement{ID: statementID, Kind: statement.Write}, Deadline: time.Now().Add(time.Hour)})
+		must.NoError(t, err)
+	}
+	g.stepDownDelay = time.Hour
+	g.SetReachability("a", Unresponsive)
+	must.NoError(t, g.Promote(t.Context(), "g", "b", "leader", 1))
+	run("b", "acknowledged")
+	g.SetReachability("a", Reachable)
+	conn, err := g.Dial(t.Context(), topology.Member{ID: "b"}, account.Anonymous)
+	must.NoError(t, err)
+	_, err = conn.StepDown(time.Now().Add(time.Hour), 3)
+	must.NoError(t, err)
+	run("a", "late")
+	must.True(t, g.Commits()["late"].Stale)
+	must.NoError(t, g.Promote(t.Context(), "g", "c", "leader", 2))
+	must.False(t, g.Commits()["acknowledged"].Dropped)
+}
