--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -282,7 +282,7 @@
 		return !ok || committed.Dropped
 	}
 	if w, missing := c.group.outcomes.missing(ran, required, isDropped); missing {
-		c.run.finding("a read of %s on a %s route through %s ran on the log of %s up to %s, and had to see %s of %s, acknowledged %s too early to be missing",
+		c.run.finding("a read of %s on a %s route through %s ran on the log of %s up to %s, and had to see %s of %s, acknowledged %s before the latest moment that it may miss",
 			c.name, c.kind, c.target.name, receiptMember(a.receipt), a.row, w.position.String(), w.id, required.until.Sub(w.at).Round(time.Millisecond))
 	}
 }
--- a/internal/standin/soak/outcomes.go
+++ b/internal/standin/soak/outcomes.go
@@ -25,8 +25,8 @@
 	highest  group.Position // highest term and highest index of this write and all before it
 }
 
-// isIn reports whether a log that ends at a position contains the write, unless a promotion has
-// dropped it.
+// isIn reports whether a log that ends at a position contains the write, if no promotion has dropped
+// it.
 func (w acknowledgedWrite) isIn(log group.Position) bool { return contains(log, w.position) }
 
 // contains reports whether a log that ends at a position has both the term and the index of another.
--- a/internal/standin/soak/standstill.go
+++ b/internal/standin/soak/standstill.go
@@ -40,7 +40,7 @@
 func standStillDuringChanges(i *instance, _ time.Duration) {
 	r := i.run
 	if !r.standstill.TryLock() {
-		return // the others must be a quorum
+		return // the instances that go on have to be a quorum
 	}
 	defer r.standstill.Unlock()
 	i.signal(syscall.SIGSTOP)
